--- /dev/null
+++ b/coordination/admission.cc
@@ -0,0 +1,87 @@
+#include "coordination/admission.h"
+
+#include <algorithm>
+
+namespace tanagerspan
+{
+
+result<std::optional<std::uint64_t>> admission::offer(ticket work, instant now)
+{
+    if (now >= work.deadline_)
+        return fail(error_code::deadline_passed, "before a slot was asked");
+    std::optional<std::uint64_t> displaced;
+    if (waiting_.size() >= options_.max_waiting_)
+    {
+        // The latest of the least urgent gives way, so that a flood of print
+        // pulls cannot keep a gate check out of the queue.
+        auto last = waiting_.begin();
+        for (auto at = waiting_.begin(); at != waiting_.end(); ++at)
+        {
+            if (at->priority_ >= last->priority_)
+                last = at;
+        }
+        if (last == waiting_.end() || last->priority_ <= work.priority_)
+            return fail(error_code::queue_full,
+                        std::to_string(waiting_.size()) + " wait already");
+        displaced = last->id_;
+        waiting_.erase(last);
+    }
+    work.arrived_ = now;
+    waiting_.push_back(work);
+    return displaced;
+}
+
+std::list<admission::ticket>::iterator admission::next(instant now)
+{
+    auto rank = [&](const ticket& work) -> std::int64_t
+    {
+        bool aged =
+            work.priority_ > 0 && now - work.arrived_ >= options_.aging_ms_;
+        return aged ? 1 : work.priority_ * 2;
+    };
+    return std::min_element(waiting_.begin(), waiting_.end(),
+                            [&](const ticket& a, const ticket& b)
+                            {
+                                return rank(a) < rank(b);
+                            });
+}
+
+std::vector<std::uint64_t> admission::grant(instant now)
+{
+    std::vector<std::uint64_t> out;
+    while (running_ < options_.slots_ && !waiting_.empty())
+    {
+        auto at = next(now);
+        out.push_back(at->id_);
+        waiting_.erase(at);
+        ++running_;
+    }
+    return out;
+}
+
+std::vector<std::uint64_t> admission::expire(instant now)
+{
+    std::vector<std::uint64_t> out;
+    for (auto at = waiting_.begin(); at != waiting_.end();)
+    {
+        if (now < at->deadline_)
+        {
+            ++at;
+            continue;
+        }
+        out.push_back(at->id_);
+        at = waiting_.erase(at);
+    }
+    return out;
+}
+
+void admission::withdraw(std::uint64_t id)
+{
+    waiting_.remove_if(
+        [id](const ticket& work)
+        {
+            return work.id_ == id;
+        });
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/coordination/group_monitor.cc
@@ -0,0 +1,298 @@
+#include "coordination/group_monitor.h"
+
+#include <algorithm>
+
+namespace tanagerspan
+{
+namespace
+{
+
+constexpr std::size_t max_marks = 128;
+constexpr std::int64_t mark_spacing_ms = 20;
+constexpr std::int64_t failed_probe_pause_ms = 100;
+constexpr std::int64_t tell_again_ms = 200;
+constexpr std::int64_t jitter_ms = 100;
+
+} // namespace
+
+group_monitor::group_monitor(options opts, instant now)
+    : options_(std::move(opts)), questions_(options_.members_.size()),
+      told_(options_.members_.size(), never), random_(options_.seed_)
+{
+    view_.service_ = options_.service_;
+    for (const auto& [name, address] : options_.members_)
+        view_.members_.push_back(
+            {.name_ = name, .address_ = address, .status_ = {}});
+    for (auto& question : questions_)
+        question.next_ = now;
+}
+
+std::vector<group_monitor::action> group_monitor::tick(instant now)
+{
+    std::vector<action> out;
+    send_probes(now, out);
+    spread_term(now, out);
+    run_move(now, out);
+    consider_promotion(now, out);
+    run_promotion(now, out);
+    return out;
+}
+
+void group_monitor::send_probes(instant now, std::vector<action>& out)
+{
+    for (std::size_t i = 0; i < questions_.size(); ++i)
+    {
+        auto& question = questions_[i];
+        const auto& status = view_.members_[i].status_;
+        if (question.open_ &&
+            now - question.asked_ >= options_.probe_timeout_ms_)
+        {
+            question.open_ = false;
+            question.next_ = now;
+        }
+        if (!question.open_ && now >= question.next_)
+        {
+            question.open_ = true;
+            question.asked_ = now;
+            status_request ask{.known_ = status.position_,
+                               .known_promised_ = status.promised_,
+                               .wait_ms_ = options_.probe_wait_ms_};
+            out.emplace_back(probe{i, ask, now});
+        }
+        if (question.nudged_open_ &&
+            now - question.nudge_asked_ >= options_.probe_timeout_ms_)
+            question.nudged_open_ = false;
+        if (nudge_wanted_ && !question.nudged_open_)
+        {
+            question.nudged_open_ = true;
+            question.nudge_asked_ = now;
+            out.emplace_back(probe{i, status_request{}, now});
+        }
+    }
+    nudge_wanted_ = false;
+}
+
+void group_monitor::on_status(std::size_t member, instant asked,
+                              const std::optional<member_status>& status,
+                              instant now)
+{
+    auto& question = questions_[member];
+    if (question.open_ && question.asked_ == asked)
+    {
+        question.open_ = false;
+        question.next_ = status ? now : now + failed_probe_pause_ms;
+    }
+    if (question.nudged_open_ && question.nudge_asked_ == asked)
+        question.nudged_open_ = false;
+    if (status)
+        accept(member, asked, *status, now);
+}
+
+void group_monitor::accept(std::size_t member, instant asked,
+                           const member_status& status, instant now)
+{
+    auto& held = view_.members_[member];
+    // Answers may arrive crossed: a lower term is older, and so is an answer
+    // to a question that was asked before the one held.
+    if (status.promised_ < held.status_.promised_)
+        return;
+    if (asked < held.asked_ && status.promised_ == held.status_.promised_)
+        return;
+    held.status_ = status;
+    held.asked_ = std::max(held.asked_, asked);
+    held.answered_ = now;
+    changed_ = true;
+    add_mark(now);
+}
+
+void group_monitor::add_mark(instant now)
+{
+    auto primary = view_.primary();
+    if (!primary)
+        return;
+    const auto& status = view_.members_[*primary].status_;
+    instant since = current_since(view_, status.promised_);
+    if (since == never || status.position_.term_ != status.promised_)
+        return;
+    auto& marks = view_.marks_;
+    if (!marks.empty() && (since - marks.back().at_ < mark_spacing_ms ||
+                           marks.back().position_ > status.position_))
+        return;
+    // While nothing is written one mark, moved forward, says it all.
+    if (marks.size() > 1 && marks.back().position_ == status.position_)
+        marks.back().at_ = since;
+    else
+        marks.push_back({since, status.position_});
+    if (marks.size() > max_marks)
+        marks.erase(marks.begin());
+    static_cast<void>(now);
+}
+
+void group_monitor::nudge()
+{
+    nudge_wanted_ = true;
+}
+
+bool group_monitor::take_changed()
+{
+    return std::exchange(changed_, false);
+}
+
+// A member that missed the promotion, an old primary above all, is told of
+// the term so that it stops serving and follows.
+void group_monitor::spread_term(instant now, std::vector<action>& out)
+{
+    auto primary = view_.primary();
+    if (!primary)
+        return;
+    const auto& lead = view_.members_[*primary].status_;
+    for (std::size_t i = 0; i < told_.size(); ++i)
+    {
+        const auto& member = view_.members_[i];
+        bool late = member.status_.promised_ < lead.promised_ &&
+                    member.answered_ != never &&
+                    now - member.answered_ < options_.silence_ms_;
+        if (!late || now - told_[i] < tell_again_ms)
+            continue;
+        told_[i] = now;
+        out.emplace_back(send_step{
+            {promotion::step::promise, i, {lead.promised_, lead.claimant_}}});
+    }
+}
+
+std::size_t group_monitor::silent_members(instant now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        view_.members_.begin(), view_.members_.end(),
+        [&](const member_view& member)
+        {
+            return member.answered_ != never &&
+                   now - member.answered_ < options_.silence_ms_ &&
+                   !member.status_.leading_ &&
+                   member.status_.primary_silence_ms_ >= options_.silence_ms_;
+        }));
+}
+
+void group_monitor::consider_promotion(instant now, std::vector<action>& out)
+{
+    // A claim by anyone starts the wait over: two claimants that answer each
+    // other's claims at once would keep the group without a primary.
+    if (std::uint64_t highest = view_.highest_promised();
+        highest != last_promised_seen_)
+    {
+        last_promised_seen_ = highest;
+        if (suspected_since_ != never)
+            suspected_since_ = now + options_.silence_ms_;
+    }
+    if (silent_members(now) < view_.majority())
+    {
+        suspected_since_ = never;
+        return;
+    }
+    if (suspected_since_ == never)
+    {
+        auto jitter = static_cast<std::int64_t>(random_() % jitter_ms);
+        bool first = rank_ == 0;
+        suspected_since_ = now + (first ? 0 : jitter);
+        out.emplace_back(note{"suspicion", "a majority hears no primary",
+                              last_promised_seen_});
+    }
+    auto wait_ms = static_cast<std::int64_t>(rank_) * options_.stagger_ms_;
+    if (promotion_ || now - suspected_since_ < wait_ms)
+        return;
+    claim(now, std::nullopt, "a majority hears no primary", out);
+}
+
+void group_monitor::claim(instant now, std::optional<std::size_t> preferred,
+                          std::string cause, std::vector<action>& out)
+{
+    last_claimed_ = std::max(last_claimed_, view_.highest_promised()) + 1;
+    last_promised_seen_ = last_claimed_;
+    promotion_.emplace(
+        promotion::options{.members_ = view_.members_.size(),
+                           .order_ = {last_claimed_, options_.claimant_},
+                           .preferred_ = preferred},
+        now);
+    out.emplace_back(note{"claim", std::move(cause), last_claimed_});
+}
+
+void group_monitor::run_promotion(instant now, std::vector<action>& out)
+{
+    if (!promotion_)
+        return;
+    for (auto& message : promotion_->tick(now))
+        out.emplace_back(send_step{message});
+    auto phase = promotion_->current();
+    if (phase != promotion::phase::done && phase != promotion::phase::failed)
+        return;
+    bool done = phase == promotion::phase::done;
+    out.emplace_back(note{done ? "promotion" : "promotion_failed",
+                          done ? view_.members_[*promotion_->chosen()].name_
+                               : "a higher claim, or no majority in time",
+                          promotion_->order().term_});
+    promotion_.reset();
+    auto jitter = static_cast<std::int64_t>(random_() % jitter_ms);
+    suspected_since_ = done ? never : now + jitter;
+}
+
+void group_monitor::on_step(promotion::step kind, std::size_t member,
+                            instant asked,
+                            const std::optional<member_status>& status,
+                            instant now)
+{
+    if (!status)
+        return;
+    accept(member, asked, *status, now);
+    if (promotion_)
+        promotion_->on_answer(kind, member, *status);
+}
+
+result<void> group_monitor::move_primary(std::string_view target, instant now)
+{
+    auto index = view_.find(target);
+    if (!index)
+        return fail(error_code::not_found, "no member of that name");
+    if (!view_.primary())
+        return fail(error_code::no_primary, "no primary to move from");
+    if (*view_.primary() != *index)
+        move_ = planned_move{*index, now + options_.move_hold_ms_};
+    return {};
+}
+
+// A planned move waits for the target to hold all that the primary holds,
+// with the primary taking no writes for a bounded time, then promotes.
+void group_monitor::run_move(instant now, std::vector<action>& out)
+{
+    if (!move_)
+        return;
+    auto primary = view_.primary();
+    if (!primary || promotion_ || now >= move_->until_ ||
+        *primary == move_->target_)
+    {
+        bool arrived = primary && *primary == move_->target_;
+        if (!promotion_)
+        {
+            out.emplace_back(note{arrived ? "move_done" : "move_given_up",
+                                  view_.members_[move_->target_].name_,
+                                  view_.highest_promised()});
+            move_.reset();
+        }
+        return;
+    }
+    const auto& lead = view_.members_[*primary].status_;
+    const auto& target = view_.members_[move_->target_];
+    if (!move_->held_)
+    {
+        move_->held_ = true;
+        out.emplace_back(
+            hold{*primary, lead.promised_, options_.move_hold_ms_});
+        nudge();
+        return;
+    }
+    nudge();
+    if (target.status_.position_ == lead.position_ &&
+        now - target.asked_ < options_.probe_wait_ms_)
+        claim(now, move_->target_, "planned move", out);
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/coordination/membership.cc
@@ -0,0 +1,201 @@
+#include "coordination/membership.h"
+
+#include <algorithm>
+#include <bit>
+#include <tuple>
+
+namespace tanagerspan
+{
+namespace
+{
+
+// A record is sent this many times for each doubling of the fleet, which
+// reaches everybody with high probability.
+constexpr int sends_per_doubling = 3;
+
+// A suspect or dead member is pinged too, so that after a partition both
+// sides meet again; the dead are forgotten after this time.
+constexpr std::int64_t forget_dead_ms = 600'000;
+
+auto gravity(const peer_record& record)
+{
+    return std::tuple{record.incarnation_, record.refutations_, record.state_};
+}
+
+} // namespace
+
+membership::membership(options opts, instant now)
+    : options_(std::move(opts)), random_(options_.seed_), next_(now)
+{
+    spread(options_.self_);
+}
+
+std::optional<peer_record> membership::tick(instant now)
+{
+    for (auto at = suspected_.begin(); at != suspected_.end();)
+    {
+        auto record = records_.find(at->first);
+        auto since = now - at->second;
+        if (record != records_.end() && record->second.state_ == suspect &&
+            since >= options_.suspect_ms_)
+        {
+            record->second.state_ = dead;
+            changed_ = true;
+            spread(record->second);
+        }
+        if (since >= forget_dead_ms)
+        {
+            if (record != records_.end() && record->second.state_ == dead)
+                records_.erase(record);
+            at = suspected_.erase(at);
+            continue;
+        }
+        ++at;
+    }
+    if (now < next_)
+        return std::nullopt;
+    next_ = now + options_.period_ms_;
+    while (true)
+    {
+        if (round_.empty())
+        {
+            for (const auto& [name, record] : records_)
+                round_.push_back(name);
+            if (round_.empty())
+                return std::nullopt;
+            std::shuffle(round_.begin(), round_.end(), random_);
+        }
+        auto at = records_.find(round_.back());
+        round_.pop_back();
+        if (at != records_.end())
+            return at->second;
+    }
+}
+
+std::vector<peer_record> membership::take_news()
+{
+    std::vector<peer_record> out;
+    for (auto at = news_.begin();
+         at != news_.end() && out.size() < options_.max_news_;)
+    {
+        if (at->first == options_.self_.name_)
+            out.push_back(options_.self_);
+        else if (auto found = records_.find(at->first); found != records_.end())
+            out.push_back(found->second);
+        at = --at->second <= 0 ? news_.erase(at) : std::next(at);
+    }
+    // Every message says at least who its sender is.
+    if (std::find(out.begin(), out.end(), options_.self_) == out.end())
+        out.push_back(options_.self_);
+    return out;
+}
+
+void membership::spread(const peer_record& record)
+{
+    auto doublings = std::bit_width(records_.size() + 1);
+    news_[record.name_] = sends_per_doubling * static_cast<int>(doublings);
+}
+
+void membership::refute(const peer_record& heard)
+{
+    auto& self = options_.self_;
+    if (gravity(heard) <= gravity(self))
+        return;
+    if (heard.incarnation_ > self.incarnation_)
+        self.incarnation_ = heard.incarnation_ + 1;
+    else
+        self.refutations_ = heard.refutations_ + 1;
+    spread(self);
+}
+
+void membership::on_news(const std::vector<peer_record>& news, instant now)
+{
+    for (const auto& heard : news)
+    {
+        if (heard.name_ == options_.self_.name_)
+        {
+            refute(heard);
+            continue;
+        }
+        auto at = records_.find(heard.name_);
+        if (at != records_.end() && gravity(heard) <= gravity(at->second))
+            continue;
+        records_[heard.name_] = heard;
+        if (heard.state_ >= suspect)
+            suspected_[heard.name_] = now;
+        else
+            suspected_.erase(heard.name_);
+        changed_ = true;
+        spread(heard);
+    }
+}
+
+void membership::on_reached(const std::string& peer, instant now)
+{
+    // The answer carried the peer's own record, which cleared any suspicion
+    // that it knew of; one that it does not know of yet rides to it now.
+    auto at = records_.find(peer);
+    if (at != records_.end() && at->second.state_ >= suspect)
+        spread(at->second);
+    static_cast<void>(now);
+}
+
+void membership::on_unreached(const std::string& peer, instant now)
+{
+    auto at = records_.find(peer);
+    if (at == records_.end() || at->second.state_ >= suspect)
+        return;
+    at->second.state_ = suspect;
+    suspected_[peer] = now;
+    changed_ = true;
+    spread(at->second);
+}
+
+void membership::on_listed(const std::string& name, const std::string& address,
+                           bool leaving, instant now)
+{
+    if (name == options_.self_.name_)
+        return;
+    auto at = records_.find(name);
+    if (at == records_.end())
+    {
+        records_[name] = {.name_ = name,
+                          .address_ = address,
+                          .data_centre_ = {},
+                          .state_ = leaving ? draining : alive};
+        changed_ = true;
+        return;
+    }
+    if (leaving && at->second.state_ == alive)
+    {
+        at->second.state_ = draining;
+        changed_ = true;
+        spread(at->second);
+    }
+    static_cast<void>(now);
+}
+
+void membership::start_draining()
+{
+    options_.self_.state_ = draining;
+    changed_ = true;
+    spread(options_.self_);
+}
+
+std::vector<std::string> membership::live() const
+{
+    std::vector<std::string> out;
+    if (options_.self_.state_ == alive)
+        out.push_back(options_.self_.name_);
+    for (const auto& [name, record] : records_)
+    {
+        // A suspect stays a home until it is dead, so that one lost ping
+        // does not move connections.
+        if (record.state_ == alive || record.state_ == suspect)
+            out.push_back(name);
+    }
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/coordination/promotion.cc
@@ -0,0 +1,97 @@
+#include "coordination/promotion.h"
+
+#include <algorithm>
+
+namespace tanagerspan
+{
+
+promotion::promotion(options opts, instant now)
+    : options_(std::move(opts)), started_(now), promises_(options_.members_)
+{
+}
+
+std::vector<promotion::message> promotion::tick(instant now)
+{
+    std::vector<message> out;
+    if (phase_ == phase::done || phase_ == phase::failed)
+        return out;
+    if (now - started_ >= options_.attempt_ms_)
+    {
+        phase_ = phase::failed;
+        return out;
+    }
+    if (now - sent_ < options_.resend_ms_)
+        return out;
+    sent_ = now;
+    if (phase_ == phase::ordering)
+    {
+        out.push_back({step::lead, *chosen_, options_.order_});
+        return out;
+    }
+    for (std::size_t i = 0; i < promises_.size(); ++i)
+    {
+        if (!promises_[i])
+            out.push_back({step::promise, i, options_.order_});
+    }
+    return out;
+}
+
+void promotion::on_answer(step kind, std::size_t member,
+                          const member_status& status)
+{
+    if (phase_ == phase::done || phase_ == phase::failed)
+        return;
+    if (!is_ours(status))
+    {
+        // A higher term, or another claimant of this one, has this member.
+        // One lost member does not end the attempt unless it was the chosen.
+        if (status.promised_ > options_.order_.term_ ||
+            (chosen_ && *chosen_ == member))
+            phase_ = phase::failed;
+        return;
+    }
+    if (kind == step::lead && status.leading_)
+    {
+        phase_ = phase::done;
+        return;
+    }
+    if (phase_ != phase::fencing)
+        return;
+    promises_[member] = status;
+    auto count = std::count_if(promises_.begin(), promises_.end(),
+                               [](const auto& p)
+                               {
+                                   return p.has_value();
+                               });
+    if (static_cast<std::size_t>(count) >= options_.members_ / 2 + 1)
+        choose();
+}
+
+bool promotion::is_ours(const member_status& status) const
+{
+    return status.promised_ == options_.order_.term_ &&
+           status.claimant_ == options_.order_.claimant_;
+}
+
+void promotion::choose()
+{
+    auto better = [this](std::size_t a, std::size_t b)
+    {
+        const auto& left = *promises_[a];
+        const auto& right = *promises_[b];
+        if (left.position_ != right.position_)
+            return left.position_ > right.position_;
+        if (options_.preferred_ == a || options_.preferred_ == b)
+            return options_.preferred_ == a;
+        return !left.leaving_ && right.leaving_;
+    };
+    for (std::size_t i = 0; i < promises_.size(); ++i)
+    {
+        if (promises_[i] && (!chosen_ || better(i, *chosen_)))
+            chosen_ = i;
+    }
+    phase_ = phase::ordering;
+    sent_ = never;
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/coordination/settings_spread.cc
@@ -0,0 +1,86 @@
+#include "coordination/settings_spread.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace tanagerspan
+{
+
+settings_spread::settings_spread(options opts, instant now)
+    : options_(opts), random_(opts.seed_), next_read_(now)
+{
+}
+
+bool settings_spread::should_read(std::size_t live_proxies, instant now)
+{
+    if (now < next_read_)
+        return false;
+    constexpr double ms_per_s = 1000.0;
+    double mean_ms = ms_per_s * static_cast<double>(live_proxies) /
+                     options_.fleet_reads_per_s_;
+    auto span = std::max(options_.shortest_read_ms_,
+                         static_cast<std::int64_t>(mean_ms));
+    // Between half and one and a half of the mean: proxies that started
+    // together do not stay in step.
+    auto part =
+        static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(span));
+    next_read_ = now + span / 2 + part;
+    return true;
+}
+
+void settings_spread::merge(const std::vector<settings_branch>& branches)
+{
+    for (const auto& branch : branches)
+    {
+        if (!tree_.merge(branch))
+            continue;
+        changed_ = true;
+        fresh_.push_back(branch);
+    }
+}
+
+void settings_spread::on_table(const std::vector<settings_branch>& changed,
+                               instant now)
+{
+    heard_ = now;
+    merge(changed);
+}
+
+void settings_spread::on_branches(const std::vector<settings_branch>& branches,
+                                  instant now)
+{
+    heard_ = now;
+    merge(branches);
+}
+
+settings_spread::push
+settings_spread::take_push(const std::vector<std::string>& live)
+{
+    push out;
+    if (fresh_.empty() || live.empty())
+        return out;
+    std::sample(live.begin(), live.end(), std::back_inserter(out.peers_),
+                options_.fanout_, random_);
+    while (!fresh_.empty() && out.branches_.size() < options_.max_branches_)
+    {
+        out.branches_.push_back(std::move(fresh_.front()));
+        fresh_.pop_front();
+    }
+    return out;
+}
+
+std::vector<settings_branch>
+settings_spread::answer_for(const settings_tree::digest& theirs) const
+{
+    auto out = tree_.differing(theirs);
+    if (out.size() <= options_.max_branches_)
+        return out;
+    // A part chosen at random, so that repeated exchanges cover all.
+    std::vector<settings_branch> part;
+    std::mt19937_64 random(random_);
+    std::sample(out.begin(), out.end(), std::back_inserter(part),
+                options_.max_branches_, random);
+    return part;
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/daemons/tanager_load_main.cc
@@ -0,0 +1,152 @@
+// The load and experiment tool: drives a real fleet with one of the two
+// workloads, checks what its callers saw, and reports. The last line is one
+// JSON object. Exit: 0 all right, 1 a promise was broken, 2 bad usage.
+
+#include <algorithm>
+#include <iostream>
+#include <unistd.h>
+
+#include <cxxopts.hpp>
+
+#include "load/load_run.h"
+#include "transport/endpoint_client.h"
+#include "transport/monotonic_clock.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+using strings = std::vector<std::string>;
+
+std::int64_t quantile(std::vector<std::int64_t> values, double q)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    auto at =
+        static_cast<std::size_t>(q * static_cast<double>(values.size() - 1));
+    return values[at];
+}
+
+// The same read through a proxy and straight to a member, in turn on one
+// thread, so that both meet the same machine.
+nlohmann::json compare_latency(const std::string& proxy,
+                               const std::string& member, const workload& with,
+                               const std::string& cls, int pairs)
+{
+    fleet_caller caller({proxy});
+    http_connection direct(member);
+    constexpr std::int64_t timeout_ms = 5000;
+    statement_request request{.service_ = with.service_,
+                              .class_ = cls,
+                              .operations_ = {{"get", "order/none", ""}},
+                              .token_ = ""};
+    request.token_ = caller.send(0, request, timeout_ms).token_;
+    read_request straight{.at_least_ = {},
+                          .operations_ = {{"get", "order/none", ""}}};
+    std::vector<std::int64_t> through;
+    std::vector<std::int64_t> direct_us;
+    for (int i = 0; i < pairs; ++i)
+    {
+        auto a = monotonic_us();
+        auto got = caller.send(0, request, timeout_ms);
+        auto b = monotonic_us();
+        auto plain = call_endpoint<execute_answer>(direct, "/v1/read", straight,
+                                                   timeout_ms);
+        auto c = monotonic_us();
+        if (got.outcome_ != outcome::done || !plain)
+            continue;
+        through.push_back(b - a);
+        direct_us.push_back(c - b);
+    }
+    return {{"pairs", through.size()},
+            {"through_p50", quantile(through, 0.5)},
+            {"direct_p50", quantile(direct_us, 0.5)},
+            {"p50", quantile(through, 0.5) - quantile(direct_us, 0.5)},
+            {"p99", quantile(through, 0.99) - quantile(direct_us, 0.99)}};
+}
+
+void print_report(const load_run& run, const workload& with)
+{
+    std::cout << "workload " << with.name_ << "\n";
+    for (const auto& share : with.shares_)
+        std::cout << "  class " << share.class_ << ": p50 "
+                  << run.latencies().quantile_us(with.team_, share.class_, 0.5)
+                  << " us, p99 "
+                  << run.latencies().quantile_us(with.team_, share.class_, 0.99)
+                  << " us\n";
+    auto measures = run.seen().measures();
+    for (const auto& [name, value] : measures.items())
+        std::cout << "  " << name << " " << value << "\n";
+}
+
+int drive(const cxxopts::ParseResult& given)
+{
+    auto with = find_workload(given["workload"].as<std::string>());
+    if (!with)
+    {
+        std::cerr << with.error().detail_ << "\n";
+        return 2;
+    }
+    load_run run({.workload_ = *with,
+                  .proxies_ = given["proxies"].as<strings>(),
+                  .rate_per_s_ = given["rate"].as<double>(),
+                  .duration_ms_ = given["duration-ms"].as<std::int64_t>(),
+                  .workers_ = given["workers"].as<std::size_t>(),
+                  .seed_ = given["seed"].as<std::uint64_t>(),
+                  .progress_ = isatty(STDERR_FILENO) != 0});
+    bool audited = run.run();
+    print_report(run, *with);
+    auto line = run.seen().measures();
+    line["workload"] = with->name_;
+    line["seed"] = given["seed"].as<std::uint64_t>();
+    if (given.count("direct") > 0)
+        line["added_latency_us"] =
+            compare_latency(given["proxies"].as<strings>().at(
+                                given["direct-proxy"].as<std::size_t>()),
+                            given["direct"].as<std::string>(), *with,
+                            with->shares_[2].class_, given["pairs"].as<int>());
+    std::cout << line.dump() << "\n";
+    return audited && run.seen().verdict().good() ? 0 : 1;
+}
+
+} // namespace
+} // namespace tanagerspan
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("tanager_load", "Loads and checks a fleet.");
+    options.add_options()("proxies", "IP:PORT of each, with commas",
+                          cxxopts::value<tanagerspan::strings>())(
+        "workload", "kowalchuk or lineas_andinas",
+        cxxopts::value<std::string>()->default_value("kowalchuk"))(
+        "rate", "statements a second",
+        cxxopts::value<double>()->default_value("200"))(
+        "duration-ms", "length of the load",
+        cxxopts::value<std::int64_t>()->default_value("3000"))(
+        "workers", "threads",
+        cxxopts::value<std::size_t>()->default_value("16"))(
+        "seed", "seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "direct", "IP:PORT of a member to compare with",
+        cxxopts::value<std::string>())(
+        "direct-proxy", "index of the proxy to compare",
+        cxxopts::value<std::size_t>()->default_value("0"))(
+        "pairs", "statements to compare",
+        cxxopts::value<int>()->default_value("2000"))("help", "help");
+    try
+    {
+        auto given = options.parse(argc, argv);
+        if (given.count("help") > 0 || given.count("proxies") == 0)
+        {
+            std::cout << options.help();
+            return given.count("help") > 0 ? 0 : 2;
+        }
+        return tanagerspan::drive(given);
+    }
+    catch (const std::exception& bad)
+    {
+        std::cerr << bad.what() << "\n";
+        return 2;
+    }
+}
--- /dev/null
+++ b/load/fleet_caller.h
@@ -0,0 +1,50 @@
+#ifndef TANAGERSPAN_LOAD_FLEET_CALLER_H
+#define TANAGERSPAN_LOAD_FLEET_CALLER_H
+
+// A caller of the fleet: keeps one connection to each proxy and roams. One
+// thread at a time.
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "coordination/statement.h"
+#include "protocol/caller_messages.h"
+#include "transport/http_connection.h"
+
+namespace tanagerspan
+{
+
+/// An answer as a caller sees it.
+struct caller_answer
+{
+    outcome outcome_ = outcome::unknown;
+    error_code error_ = error_code::lost;
+    std::vector<operation_result> results_;
+    std::string token_;
+    bool by_replica_ = false;
+    std::int64_t age_ms_ = -1;
+};
+
+class fleet_caller
+{
+public:
+    explicit fleet_caller(const std::vector<std::string>& proxies);
+
+    /// One statement through one proxy. A failure to connect is not_run;
+    /// an answer that never came is unknown.
+    caller_answer send(std::size_t proxy, const statement_request& request,
+                       std::int64_t timeout_ms);
+
+    std::size_t proxies() const
+    {
+        return connections_.size();
+    }
+
+private:
+    std::vector<std::unique_ptr<http_connection>> connections_;
+};
+
+} // namespace tanagerspan
+
+#endif
--- /dev/null
+++ b/load/history.h
@@ -0,0 +1,87 @@
+#ifndef TANAGERSPAN_LOAD_HISTORY_H
+#define TANAGERSPAN_LOAD_HISTORY_H
+
+// What all callers did and saw, and the verdict on it.
+//
+// Every placement inserts a key of its own and adds one to its session's
+// counter in the same statement. At the end each proxy is asked for all keys
+// and counters:
+//   lost           acknowledged keys that are not there
+//   doubled        what a counter has over the keys that are there
+//   false_refusal  keys that are there though they were refused as not run
+//   stale          a session that missed its own write or ran backwards, or
+//                  an answer older than its class allows
+//   mixed          an answer to another request: a value of another key
+// Thread safe.
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "coordination/statement.h"
+#include "state/instant.h"
+
+namespace tanagerspan
+{
+
+struct verdict_counts
+{
+    std::int64_t lost_ = 0;
+    std::int64_t doubled_ = 0;
+    std::int64_t stale_ = 0;
+    std::int64_t mixed_ = 0;
+    std::int64_t false_refusal_ = 0;
+
+    bool good() const
+    {
+        return lost_ + doubled_ + stale_ + mixed_ + false_refusal_ == 0;
+    }
+};
+
+class history
+{
+public:
+    /// The value that belongs to a key.
+    static std::string value_of(const std::string& key);
+
+    void on_placed(const std::string& key, outcome what, instant at);
+    void on_read_own(const std::string& key, bool found,
+                     const std::string& value);
+    void on_read(bool found, const std::string& key, const std::string& value,
+                 bool by_replica, bool replica_allowed);
+    void on_age(std::int64_t age_ms, std::int64_t allowed_ms);
+
+    /// A key that was acknowledged, or empty if there is none yet.
+    std::string any_placed(std::mt19937_64& random) const;
+
+    /// What one proxy says is there, keys and values in turn, then counters.
+    void audit(const std::vector<std::string>& rows,
+               const std::vector<std::string>& counters);
+
+    verdict_counts verdict() const;
+
+    /// The measures, by their names in the docs.
+    nlohmann::json measures() const;
+
+private:
+    mutable std::mutex mutex_;
+    std::map<std::string, outcome> placed_;
+    std::vector<std::string> acknowledged_;
+    verdict_counts counts_;
+    std::int64_t reads_ = 0;
+    std::int64_t read_back_ = 0;
+    std::int64_t replica_reads_ = 0;
+    std::int64_t replica_allowed_ = 0;
+    std::int64_t longest_gap_ms_ = 0;
+    instant last_acknowledged_ = never;
+    bool audited_ = false;
+};
+
+} // namespace tanagerspan
+
+#endif
--- /dev/null
+++ b/load/load_run.h
@@ -0,0 +1,80 @@
+#ifndef TANAGERSPAN_LOAD_LOAD_RUN_H
+#define TANAGERSPAN_LOAD_LOAD_RUN_H
+
+// Drives a fleet with one workload, open loop: statements are due at seeded
+// random times of a stated rate, and latency counts from when a statement
+// was due, so that a slow fleet cannot slow its own load down. Sessions roam
+// between proxies and repeat what was not done with the same request id.
+
+#include <atomic>
+#include <deque>
+#include <memory>
+
+#include "load/fleet_caller.h"
+#include "load/history.h"
+#include "load/workload.h"
+#include "state/latency_histograms.h"
+
+namespace tanagerspan
+{
+
+class load_run
+{
+public:
+    struct options
+    {
+        workload workload_{};
+        std::vector<std::string> proxies_{};
+        double rate_per_s_ = 200;
+        std::int64_t duration_ms_ = 3000;
+        std::size_t workers_ = 16;
+        std::size_t sessions_ = 64;
+        std::uint64_t seed_ = 1;
+        std::int64_t list_age_ms_ = 2000;
+        std::int64_t give_up_ms_ = 20'000;
+        bool progress_ = false;
+    };
+
+    explicit load_run(options opts);
+    ~load_run();
+
+    /// Runs the load, then asks every proxy for what is there. False if a
+    /// proxy could not be asked.
+    bool run();
+
+    const history& seen() const
+    {
+        return history_;
+    }
+    const latency_histograms& latencies() const
+    {
+        return latencies_;
+    }
+
+private:
+    struct session;
+
+    void work(std::size_t worker);
+    void place(fleet_caller& caller, session& by, const work_share& share,
+               std::mt19937_64& random);
+    void reread(fleet_caller& caller, session& by, const work_share& share,
+                std::mt19937_64& random);
+    void look_up(fleet_caller& caller, session& by, const work_share& share,
+                 std::mt19937_64& random);
+    void list(fleet_caller& caller, session& by, const work_share& share,
+              std::mt19937_64& random);
+    caller_answer read(fleet_caller& caller, session& by,
+                       const work_share& share, operation op,
+                       std::mt19937_64& random);
+    bool audit();
+
+    options options_;
+    history history_;
+    latency_histograms latencies_;
+    std::deque<session> sessions_;
+    std::string run_id_;
+};
+
+} // namespace tanagerspan
+
+#endif
--- /dev/null
+++ b/node/call_lane.h
@@ -0,0 +1,90 @@
+#ifndef TANAGERSPAN_NODE_CALL_LANE_H
+#define TANAGERSPAN_NODE_CALL_LANE_H
+
+// A thread that does the control thread's blocking calls, one at a time and
+// in order. The control thread posts a task and hears of its end by an event
+// of its own; it never waits.
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace tanagerspan
+{
+
+class call_lane
+{
+public:
+    using task = std::function<void()>;
+
+    call_lane()
+        : thread_(
+              [this]
+              {
+                  run();
+              })
+    {
+    }
+
+    ~call_lane()
+    {
+        {
+            std::lock_guard lock(mutex_);
+            stopping_ = true;
+        }
+        wake_.notify_all();
+        thread_.join();
+    }
+
+    call_lane(const call_lane&) = delete;
+    call_lane& operator=(const call_lane&) = delete;
+
+    void post(task work)
+    {
+        {
+            std::lock_guard lock(mutex_);
+            tasks_.push_back(std::move(work));
+        }
+        wake_.notify_one();
+    }
+
+    /// Tasks not yet begun.
+    std::size_t waiting() const
+    {
+        std::lock_guard lock(mutex_);
+        return tasks_.size();
+    }
+
+private:
+    void run()
+    {
+        std::unique_lock lock(mutex_);
+        while (true)
+        {
+            wake_.wait(lock,
+                       [this]
+                       {
+                           return stopping_ || !tasks_.empty();
+                       });
+            if (stopping_)
+                return;
+            task work = std::move(tasks_.front());
+            tasks_.pop_front();
+            lock.unlock();
+            work();
+            lock.lock();
+        }
+    }
+
+    mutable std::mutex mutex_;
+    std::condition_variable wake_;
+    std::deque<task> tasks_;
+    bool stopping_ = false;
+    std::thread thread_;
+};
+
+} // namespace tanagerspan
+
+#endif
--- /dev/null
+++ b/node/control_loop.h
@@ -0,0 +1,127 @@
+#ifndef TANAGERSPAN_NODE_CONTROL_LOOP_H
+#define TANAGERSPAN_NODE_CONTROL_LOOP_H
+
+// The control thread: the one thread that owns control state (membership,
+// settings, group monitors). Others post events to it and read the snapshot
+// that it publishes; its own blocking calls run on call lanes.
+//
+// All decisions are taken in coordination/; this file moves events to them
+// and does what they say.
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+#include "coordination/membership.h"
+#include "coordination/settings_spread.h"
+#include "node/call_lane.h"
+#include "node/decision_journal.h"
+#include "node/group_watch.h"
+#include "node/proxy_settings.h"
+#include "node/service_route.h"
+#include "transport/peer_link.h"
+
+namespace tanagerspan
+{
+
+/// What proxies send each other in a gossip frame.
+struct gossip_message
+{
+    std::vector<peer_record> news_;
+    std::vector<std::uint64_t> digests_;
+    std::vector<settings_branch> branches_;
+};
+
+constexpr auto fields_of(const gossip_message*)
+{
+    return std::tuple{
+        field{"news", &gossip_message::news_, {.max_ = 64}},
+        field{"digests",
+              &gossip_message::digests_,
+              {.max_ = settings_tree::digest_buckets}},
+        field{"branches", &gossip_message::branches_, {.max_ = 64}}};
+}
+
+class control_loop
+{
+public:
+    using event = std::function<void(instant)>;
+
+    control_loop(const proxy_settings& settings, peer_links& links,
+                 decision_journal& journal);
+    ~control_loop();
+
+    void start();
+    void stop();
+
+    /// Runs `work` on the control thread. Any thread.
+    void post(event work);
+
+    /// Runs `work` on the control thread and waits for it. Any other thread.
+    void call(const event& work);
+
+    /// The latest snapshot. Any thread.
+    std::shared_ptr<const fleet_snapshot> snapshot() const;
+
+    // For use in events, on the control thread only.
+    membership& peers()
+    {
+        return membership_;
+    }
+    settings_spread& settings()
+    {
+        return spread_;
+    }
+    const std::map<std::string, std::unique_ptr<group_watch>>& watches() const
+    {
+        return watches_;
+    }
+
+    /// Answers a peer's gossip. Any thread.
+    nlohmann::json on_gossip(const nlohmann::json& body);
+
+private:
+    void run();
+    void tick(instant now);
+    void gossip(instant now);
+    void push_settings();
+    void read_platform(instant now);
+    void take_gossip(const gossip_message& message, instant now);
+    gossip_message make_gossip();
+    void reconcile(instant now);
+    void place_service(const std::string& service, const std::string& team,
+                       const service_settings& settings, std::uint64_t version,
+                       fleet_snapshot& next, instant now);
+    void retire(const std::string& service);
+
+    const proxy_settings& settings_;
+    peer_links& links_;
+    decision_journal& journal_;
+    membership membership_;
+    settings_spread spread_;
+    std::map<std::string, std::unique_ptr<group_watch>> watches_;
+
+    std::unique_ptr<call_lane> ping_lane_;
+    std::unique_ptr<call_lane> push_lane_;
+    std::unique_ptr<call_lane> platform_lane_;
+    std::unique_ptr<call_lane> disposal_lane_;
+    std::unique_ptr<http_connection> platform_;
+    std::uint64_t table_revision_ = 0; // platform lane only
+    std::atomic<bool> platform_busy_{false};
+
+    mutable std::mutex mutex_;
+    std::condition_variable wake_;
+    std::deque<event> events_;
+    bool stopping_ = false;
+    std::shared_ptr<const fleet_snapshot> snapshot_;
+    std::thread thread_;
+};
+
+} // namespace tanagerspan
+
+#endif
--- /dev/null
+++ b/node/group_watch.cc
@@ -0,0 +1,190 @@
+#include "node/group_watch.h"
+
+#include <algorithm>
+
+#include "coordination/home_ranking.h"
+#include "transport/endpoint_client.h"
+#include "transport/monotonic_clock.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+constexpr std::int64_t answer_slack_ms = 300;
+constexpr std::int64_t order_timeout_ms = 400;
+constexpr std::size_t max_orders_waiting = 8;
+
+group_monitor::options monitor_options(const group_watch::options& opts)
+{
+    group_monitor::options out{.service_ = opts.service_,
+                               .members_ = {},
+                               .claimant_ = opts.claimant_,
+                               .seed_ = opts.seed_,
+                               .probe_wait_ms_ = opts.probe_wait_ms_,
+                               .probe_timeout_ms_ =
+                                   opts.probe_wait_ms_ + answer_slack_ms + 100,
+                               .silence_ms_ = opts.silence_ms_};
+    for (const auto& [name, address] : opts.settings_.members_)
+        out.members_.emplace_back(name, address);
+    return out;
+}
+
+std::optional<member_status> to_optional(const result<member_status>& got)
+{
+    if (!got)
+        return std::nullopt;
+    return *got;
+}
+
+} // namespace
+
+// One lane for the question that is always open, one for what must not wait
+// behind it.
+struct group_watch::member_lanes
+{
+    explicit member_lanes(const std::string& address)
+        : probe_connection_(address), order_connection_(address)
+    {
+    }
+
+    http_connection probe_connection_;
+    http_connection order_connection_;
+    call_lane probes_;
+    call_lane orders_;
+};
+
+group_watch::group_watch(options opts, decision_journal& journal, poster post,
+                         instant now)
+    : options_(std::move(opts)), journal_(journal), post_(std::move(post)),
+      monitor_(monitor_options(options_), now),
+      home_(std::make_shared<home_service>()),
+      alive_(std::make_shared<bool>(true))
+{
+    auto rank = static_cast<std::int64_t>(options_.rank_);
+    auto seats = static_cast<std::int64_t>(options_.seats_);
+    const auto& settings = options_.settings_;
+    home_->seat_ = std::to_string(rank) + "/" + std::to_string(seats);
+    // Each home keeps two connections of its share for the watch itself.
+    constexpr std::int64_t watch_connections = 2;
+    constexpr std::int64_t least_connections = 1;
+    auto share = std::max(least_connections,
+                          seat_share(settings.connection_limit_, rank, seats) -
+                              watch_connections);
+    for (const auto& [name, address] : settings.members_)
+    {
+        home_->members_.push_back(std::make_unique<member_port>(
+            connection_pool::options{.address_ = address,
+                                     .max_ = static_cast<std::size_t>(share)},
+            admission::options{.slots_ =
+                                   seat_share(settings.slots_, rank, seats),
+                               .max_waiting_ = options_.max_waiting_}));
+        lanes_.push_back(std::make_unique<member_lanes>(address));
+    }
+    monitor_.set_rank(options_.rank_);
+    std::weak_ptr<bool> alive = alive_;
+    home_->nudge_ = [this, alive, post = post_]
+    {
+        post(
+            [this, alive](instant)
+            {
+                if (alive.lock())
+                    monitor_.nudge();
+            });
+    };
+    home_->view_.publish(monitor_.view());
+}
+
+group_watch::~group_watch() = default;
+
+void group_watch::tick(instant now)
+{
+    for (const auto& wanted : monitor_.tick(now))
+        act(wanted);
+    if (monitor_.take_changed())
+        home_->view_.publish(monitor_.view());
+}
+
+void group_watch::act(const group_monitor::action& wanted)
+{
+    if (const auto* question = std::get_if<group_monitor::probe>(&wanted))
+        ask(*question);
+    else if (const auto* step = std::get_if<group_monitor::send_step>(&wanted))
+        order(step->message_);
+    else if (const auto* pause = std::get_if<group_monitor::hold>(&wanted))
+        hold(*pause);
+    else if (const auto* note = std::get_if<group_monitor::note>(&wanted))
+        journal_.add({.what_ = note->what_,
+                      .subject_ = options_.service_,
+                      .cause_ = note->cause_,
+                      .term_or_version_ = note->term_,
+                      .correlation_ = options_.claimant_});
+}
+
+void group_watch::ask(const group_monitor::probe& question)
+{
+    bool waits = question.request_.wait_ms_ > 0;
+    auto& lanes = *lanes_[question.member_];
+    auto& lane = waits ? lanes.probes_ : lanes.orders_;
+    auto& connection =
+        waits ? lanes.probe_connection_ : lanes.order_connection_;
+    std::weak_ptr<bool> alive = alive_;
+    lane.post(
+        [this, question, &connection, alive, post = post_]
+        {
+            auto got = call_endpoint<member_status>(
+                connection, "/v1/status", question.request_,
+                question.request_.wait_ms_ + answer_slack_ms);
+            post(
+                [this, question, got = to_optional(got), alive](instant now)
+                {
+                    if (alive.lock())
+                        monitor_.on_status(question.member_, question.asked_,
+                                           got, now);
+                });
+        });
+}
+
+void group_watch::order(const promotion::message& message)
+{
+    auto& lanes = *lanes_[message.member_];
+    // A member that answers nothing must not collect a backlog of orders
+    // that would reach it all at once, late.
+    if (lanes.orders_.waiting() > max_orders_waiting)
+        return;
+    std::weak_ptr<bool> alive = alive_;
+    lanes.orders_.post(
+        [this, message, &connection = lanes.order_connection_, alive,
+         post = post_]
+        {
+            instant asked = monotonic_now();
+            bool lead = message.step_ == promotion::step::lead;
+            auto got = call_endpoint<member_status>(
+                connection, lead ? "/v1/lead" : "/v1/promise", message.order_,
+                order_timeout_ms);
+            post(
+                [this, message, asked, got = to_optional(got),
+                 alive](instant now)
+                {
+                    if (alive.lock())
+                        monitor_.on_step(message.step_, message.member_, asked,
+                                         got, now);
+                });
+        });
+}
+
+void group_watch::hold(const group_monitor::hold& wanted)
+{
+    auto& lanes = *lanes_[wanted.member_];
+    lanes.orders_.post(
+        [wanted, &connection = lanes.order_connection_]
+        {
+            status_request body{.known_ = {},
+                                .known_promised_ = wanted.term_,
+                                .wait_ms_ = wanted.hold_ms_};
+            static_cast<void>(call_endpoint<member_status>(
+                connection, "/v1/hold", body, order_timeout_ms));
+        });
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/node/group_watch.h
@@ -0,0 +1,84 @@
+#ifndef TANAGERSPAN_NODE_GROUP_WATCH_H
+#define TANAGERSPAN_NODE_GROUP_WATCH_H
+
+// Runs one `group_monitor` for a service that this proxy is a home of: sends
+// its questions and orders on lanes, two for each member, and publishes its
+// view. All methods on the control thread.
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "coordination/group_monitor.h"
+#include "node/call_lane.h"
+#include "node/decision_journal.h"
+#include "node/service_route.h"
+
+namespace tanagerspan
+{
+
+class group_watch
+{
+public:
+    using poster = std::function<void(std::function<void(instant)>)>;
+
+    struct options
+    {
+        std::string service_{};
+        service_settings settings_{};
+        std::string claimant_{};
+        std::size_t rank_ = 0;
+        std::size_t seats_ = 1;
+        std::size_t max_waiting_ = 200;
+        std::uint64_t seed_ = 1;
+        std::int64_t probe_wait_ms_ = 300;
+        std::int64_t silence_ms_ = 600;
+    };
+
+    group_watch(options opts, decision_journal& journal, poster post,
+                instant now);
+    ~group_watch();
+
+    void tick(instant now);
+
+    /// From here on no answer in flight touches this watch, which may then
+    /// be destroyed on another thread.
+    void abandon()
+    {
+        alive_.reset();
+    }
+
+    group_monitor& monitor()
+    {
+        return monitor_;
+    }
+    const std::shared_ptr<home_service>& home() const
+    {
+        return home_;
+    }
+    const options& settings() const
+    {
+        return options_;
+    }
+
+private:
+    struct member_lanes;
+
+    void act(const group_monitor::action& wanted);
+    void ask(const group_monitor::probe& question);
+    void order(const promotion::message& message);
+    void hold(const group_monitor::hold& wanted);
+
+    options options_;
+    decision_journal& journal_;
+    poster post_;
+    group_monitor monitor_;
+    std::shared_ptr<home_service> home_;
+    std::vector<std::unique_ptr<member_lanes>> lanes_;
+    std::shared_ptr<bool> alive_;
+};
+
+} // namespace tanagerspan
+
+#endif
--- /dev/null
+++ b/node/operators.cc
@@ -0,0 +1,335 @@
+#include "node/operators.h"
+
+#include <sstream>
+
+#include <Poco/URI.h>
+
+#include "coordination/settings_change.h"
+#include "protocol/operator_messages.h"
+#include "transport/monotonic_clock.h"
+#include "transport/platform_client.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+constexpr std::int64_t change_deadline_ms = 8000;
+constexpr std::int64_t platform_timeout_ms = 1500;
+constexpr std::int64_t read_again_ms = 100;
+
+http_answer refuse(const failure& cause)
+{
+    return to_http(cause, outcome::not_run);
+}
+
+std::string row_key(const std::string& team)
+{
+    return "settings/" + team;
+}
+
+// Does the actions of a settings change against the platform.
+result<settings_branch> drive_change(settings_change& change,
+                                     platform_client& platform,
+                                     const std::string& team)
+{
+    while (true)
+    {
+        auto action = change.step(monotonic_now());
+        if (auto* end = std::get_if<settings_change::finish>(&action))
+            return end->result_;
+        if (auto* write = std::get_if<settings_change::write_row>(&action))
+        {
+            auto got = platform.change({.key_ = row_key(team),
+                                        .expected_ = write->expected_,
+                                        .value_ = encode(write->row_).dump()});
+            change.on_write(got ? result<void>{}
+                                : result<void>(tl::unexpected(got.error())));
+            continue;
+        }
+        auto row = platform.find(row_key(team));
+        if (row)
+        {
+            auto held = decode_text<settings_row>(row->value_);
+            change.on_read(held ? result<std::optional<settings_row>>(*held)
+                                : fail(error_code::malformed));
+        }
+        else if (row.error().code_ == error_code::not_found)
+            change.on_read(std::optional<settings_row>{});
+        else
+        {
+            change.on_read(tl::unexpected(row.error()));
+            std::this_thread::sleep_for(
+                std::chrono::milliseconds(read_again_ms));
+        }
+    }
+}
+
+nlohmann::json describe(const group_view& view, instant now)
+{
+    auto members = nlohmann::json::array();
+    for (const auto& member : view.members_)
+    {
+        const auto& status = member.status_;
+        members.push_back(
+            {{"name", member.name_},
+             {"address", member.address_},
+             {"role", status.leading_ ? "primary" : "replica"},
+             {"promised_term", status.promised_},
+             {"position", encode(status.position_)},
+             {"leaving", status.leaving_},
+             {"heard_ms_ago",
+              member.answered_ == never ? -1 : now - member.answered_}});
+    }
+    return members;
+}
+
+} // namespace
+
+operators::operators(const proxy_settings& settings, control_loop& control,
+                     traffic& carried, peer_links& links,
+                     decision_journal& journal, std::function<void()> drain)
+    : settings_(settings), control_(control), traffic_(carried), links_(links),
+      journal_(journal), drain_(std::move(drain))
+{
+}
+
+bool operators::owns(const std::string& path)
+{
+    return path == "/health" || path == "/ready" || path == "/metrics" ||
+           path.starts_with("/admin/");
+}
+
+http_answer operators::handle(const http_request& request)
+{
+    const auto& path = request.path_;
+    if (path == "/health")
+        return {200, R"({"health":"ok"})"};
+    if (path == "/ready")
+        return ready();
+    if (path == "/metrics")
+        return metrics();
+    if (path == "/admin/status")
+        return status();
+    if (path == "/admin/move" && request.method_ == "POST")
+        return move(request.body_);
+    if (path == "/admin/drain" && request.method_ == "POST")
+    {
+        drain_();
+        return {202, R"({"draining":true})"};
+    }
+    constexpr std::string_view settings_prefix = "/admin/settings/";
+    if (path.starts_with(settings_prefix))
+        return settings(request, path.substr(settings_prefix.size()));
+    constexpr std::string_view explain_prefix = "/admin/decisions";
+    if (path.starts_with(explain_prefix))
+    {
+        std::string about;
+        for (const auto& [key, value] : Poco::URI(path).getQueryParameters())
+        {
+            if (key == "about")
+                about = value;
+        }
+        return {200, journal_.about(about).dump()};
+    }
+    return refuse({error_code::not_found, path});
+}
+
+http_answer operators::ready()
+{
+    if (draining_)
+        return refuse({error_code::draining, "draining"});
+    if (!control_.snapshot()->ready_)
+        return refuse({error_code::not_ready, "no settings heard yet"});
+    return {200, R"({"ready":true})"};
+}
+
+http_answer operators::status()
+{
+    nlohmann::json out{{"name", settings_.name_},
+                       {"data_centre", settings_.data_centre_},
+                       {"draining", draining_.load()},
+                       {"in_flight", traffic_.counters().in_flight_.load()}};
+    control_.call(
+        [&](instant now)
+        {
+            auto& spread = control_.settings();
+            out["settings_age_ms"] = spread.age_ms(now);
+            out["ready"] = spread.ready();
+            auto teams = nlohmann::json::object();
+            for (const auto& [team, branch] : spread.tree().branches())
+                teams[team] = {{"version", branch.version_},
+                               {"withdrawn", branch.withdrawn_}};
+            out["teams"] = teams;
+            auto peers = nlohmann::json::array();
+            for (const auto& [name, record] : control_.peers().records())
+                peers.push_back(encode(record));
+            out["peers"] = peers;
+            auto services = nlohmann::json::object();
+            for (const auto& [service, watch] : control_.watches())
+            {
+                auto ports = nlohmann::json::array();
+                for (const auto& port : watch->home()->members_)
+                    ports.push_back({{"address", port->address_},
+                                     {"connections", port->pool_.open()},
+                                     {"slots_used", port->gate_.running()},
+                                     {"waiting", port->gate_.waiting()}});
+                services[service] = {
+                    {"seat", watch->home()->seat_},
+                    {"members", describe(watch->monitor().view(), now)},
+                    {"pools", ports}};
+            }
+            out["services"] = services;
+        });
+    auto routes = nlohmann::json::object();
+    for (const auto& [service, route] : control_.snapshot()->routes_)
+        routes[service] = route.home_names_;
+    out["homes"] = routes;
+    return {200, out.dump()};
+}
+
+http_answer operators::metrics()
+{
+    std::ostringstream out;
+    const auto& counters = traffic_.counters();
+    auto line = [&](std::string_view name, std::string_view type, auto value)
+    {
+        out << "# TYPE tanagerspan_" << name << " " << type << "\ntanagerspan_"
+            << name << " " << value << "\n";
+    };
+    line("reads_total", "counter", counters.reads_.load());
+    line("replica_reads_total", "counter", counters.replica_reads_.load());
+    line("writes_total", "counter", counters.writes_.load());
+    line("not_run_total", "counter", counters.not_run_.load());
+    line("unknown_total", "counter", counters.unknown_.load());
+    line("forwarded_total", "counter", counters.forwarded_.load());
+    line("retries_total", "counter", counters.retries_.load());
+    line("peer_bytes_total", "counter", links_.bytes());
+    line("in_flight", "gauge", counters.in_flight_.load());
+    line("open_transactions", "gauge", traffic_.open_transactions());
+    traffic_.latencies().write_prometheus(out, "tanagerspan_statement_seconds");
+    return {200, out.str()};
+}
+
+http_answer operators::move(const std::string& body)
+{
+    auto request = decode_text<move_request>(body);
+    if (!request)
+        return refuse(request.error());
+    result<void> got = fail(error_code::not_home,
+                            "ask a home of the service; see /admin/status");
+    control_.call(
+        [&](instant now)
+        {
+            auto at = control_.watches().find(request->service_);
+            if (at != control_.watches().end())
+                got = at->second->monitor().move_primary(request->target_, now);
+        });
+    if (!got)
+        return refuse(got.error());
+    return {202, R"({"moving":true})"};
+}
+
+http_answer operators::settings(const http_request& request,
+                                const std::string& rest)
+{
+    auto slash = rest.find('/');
+    std::string team = rest.substr(0, slash);
+    constexpr std::size_t longest_team = 64;
+    if (team.empty() || team.size() > longest_team)
+        return refuse({error_code::malformed, "team: 1 to 64 characters"});
+    if (slash != std::string::npos)
+        return rest.substr(slash) == "/history"
+                   ? history(team)
+                   : refuse({error_code::not_found, rest});
+    if (request.method_ == "PUT")
+        return change(team, request, false);
+    if (request.method_ == "DELETE")
+        return change(team, request, true);
+    std::optional<settings_branch> held;
+    control_.call(
+        [&](instant)
+        {
+            if (const auto* branch = control_.settings().tree().find(team))
+                held = *branch;
+        });
+    if (!held)
+        return refuse({error_code::not_found, team});
+    return {200, encode(*held).dump()};
+}
+
+http_answer operators::change(const std::string& team,
+                              const http_request& request, bool withdraw)
+{
+    auto wanted = decode_text<settings_request>(request.body_);
+    if (!wanted)
+        return refuse(wanted.error());
+    settings_branch branch{.team_ = team,
+                           .change_id_ = wanted->change_id_,
+                           .withdrawn_ = withdraw,
+                           .plan_ = withdraw ? team_settings{} : wanted->plan_};
+    settings_change::options opts{
+        .wanted_ = branch, .deadline_ = monotonic_now() + change_deadline_ms};
+    if (wanted->expected_version_ >= 0)
+        opts.expected_ = static_cast<std::uint64_t>(wanted->expected_version_);
+    http_connection connection(settings_.platform_address_);
+    platform_client platform(connection, platform_timeout_ms);
+    settings_change machine(std::move(opts));
+    auto accepted = drive_change(machine, platform, team);
+    journal_.add({.what_ = accepted ? "settings_accepted" : "settings_refused",
+                  .subject_ = team,
+                  .cause_ = accepted ? (withdraw ? "withdrawn" : "set")
+                                     : accepted.error().detail_,
+                  .term_or_version_ = accepted ? accepted->version_ : 0,
+                  .correlation_ = wanted->change_id_});
+    if (!accepted)
+    {
+        bool open = accepted.error().code_ == error_code::lost;
+        return to_http(accepted.error(),
+                       open ? outcome::unknown : outcome::not_run);
+    }
+    control_.post(
+        [branch = *accepted, this](instant now)
+        {
+            control_.settings().on_branches({branch}, now);
+        });
+    // History is for people; losing an entry loses no setting.
+    static_cast<void>(platform.put_object(
+        "settings-" + team + "-" + std::to_string(accepted->version_),
+        encode(*accepted).dump()));
+    return {200,
+            nlohmann::json{{"outcome", "done"}, {"version", accepted->version_}}
+                .dump()};
+}
+
+http_answer operators::history(const std::string& team)
+{
+    std::uint64_t version = 0;
+    control_.call(
+        [&](instant)
+        {
+            if (const auto* branch = control_.settings().tree().find(team))
+                version = branch->version_;
+        });
+    if (version == 0)
+        return refuse({error_code::not_found, team});
+    constexpr std::uint64_t most = 20;
+    http_connection connection(settings_.platform_address_);
+    platform_client platform(connection, platform_timeout_ms);
+    auto out = nlohmann::json::array();
+    std::uint64_t first = version > most ? version - most + 1 : 1;
+    for (std::uint64_t v = first; v <= version; ++v)
+    {
+        auto text =
+            platform.get_object("settings-" + team + "-" + std::to_string(v));
+        auto parsed =
+            text ? parse_json(*text)
+                 : result<nlohmann::json>(tl::unexpected(text.error()));
+        out.push_back(parsed
+                          ? *parsed
+                          : nlohmann::json{{"version", v}, {"missing", true}});
+    }
+    return {200, out.dump()};
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/node/operators.h
@@ -0,0 +1,57 @@
+#ifndef TANAGERSPAN_NODE_OPERATORS_H
+#define TANAGERSPAN_NODE_OPERATORS_H
+
+// What operators and the balancer ask of a proxy, over HTTP (docs/API.md):
+// health, readiness, metrics, status, settings, drain, planned moves and the
+// explanation of decisions. Called by many threads at once.
+
+#include <atomic>
+#include <functional>
+#include <string>
+
+#include "node/traffic.h"
+#include "transport/http_listener.h"
+
+namespace tanagerspan
+{
+
+class operators
+{
+public:
+    operators(const proxy_settings& settings, control_loop& control,
+              traffic& carried, peer_links& links, decision_journal& journal,
+              std::function<void()> drain);
+
+    /// True if the path is an operator's or the balancer's.
+    static bool owns(const std::string& path);
+
+    http_answer handle(const http_request& request);
+
+    /// Tells the balancer to send nothing new.
+    void set_draining()
+    {
+        draining_ = true;
+    }
+
+private:
+    http_answer ready();
+    http_answer metrics();
+    http_answer status();
+    http_answer settings(const http_request& request, const std::string& rest);
+    http_answer change(const std::string& team, const http_request& request,
+                       bool withdraw);
+    http_answer history(const std::string& team);
+    http_answer move(const std::string& body);
+
+    const proxy_settings& settings_;
+    control_loop& control_;
+    traffic& traffic_;
+    peer_links& links_;
+    decision_journal& journal_;
+    std::function<void()> drain_;
+    std::atomic<bool> draining_{false};
+};
+
+} // namespace tanagerspan
+
+#endif
--- /dev/null
+++ b/node/proxy_node.cc
@@ -0,0 +1,150 @@
+#include "node/proxy_node.h"
+
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+#include "node/operators.h"
+#include "transport/json_log.h"
+#include "transport/monotonic_clock.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+constexpr std::int64_t drain_poll_ms = 10;
+
+void sleep_ms(std::int64_t ms)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+}
+
+} // namespace
+
+struct proxy_node::impl
+{
+    explicit impl(proxy_settings given)
+        : settings_(std::move(given)), control_(settings_, links_, journal_),
+          traffic_(settings_, control_, links_, journal_),
+          operators_(settings_, control_, traffic_, links_, journal_,
+                     [this]
+                     {
+                         draining_ = true;
+                     }),
+          callers_({.address_ = settings_.callers_address_,
+                    .max_connections_ =
+                        static_cast<int>(settings_.max_caller_connections_)},
+                   [this](const http_request& request)
+                   {
+                       return serve(request);
+                   }),
+          peers_(settings_.peers_address_,
+                 static_cast<int>(settings_.max_peer_connections_),
+                 [this](const peer_frame& frame)
+                 {
+                     return serve_peer(frame);
+                 })
+    {
+    }
+
+    http_answer serve(const http_request& request)
+    {
+        if (operators::owns(request.path_))
+            return operators_.handle(request);
+        if (request.method_ != "POST")
+            return to_http({error_code::not_found, "POST is expected"},
+                           outcome::not_run);
+        return traffic_.handle(request.path_, request.body_, false);
+    }
+
+    peer_frame serve_peer(const peer_frame& frame)
+    {
+        if (frame.type_ == frame_type::gossip)
+            return {.type_ = frame_type::gossip_back,
+                    .body_ = control_.on_gossip(frame.body_)};
+        auto request = decode<forward_request>(frame.body_);
+        http_answer answer =
+            request ? traffic_.handle(request->path_, request->body_, true)
+                    : to_http(request.error(), outcome::not_run);
+        return {.type_ = frame_type::forwarded,
+                .body_ = encode(
+                    forward_answer{answer.status_, std::move(answer.body_)})};
+    }
+
+    proxy_settings settings_;
+    peer_links links_;
+    decision_journal journal_;
+    control_loop control_;
+    traffic traffic_;
+    std::atomic<bool> draining_{false};
+    operators operators_;
+    http_listener callers_;
+    peer_listener peers_;
+};
+
+proxy_node::proxy_node(proxy_settings settings)
+    : impl_(std::make_unique<impl>(std::move(settings)))
+{
+}
+
+proxy_node::~proxy_node() = default;
+
+result<void> proxy_node::start()
+{
+    impl_->control_.start();
+    if (auto peers = impl_->peers_.start(); !peers)
+        return peers;
+    if (auto callers = impl_->callers_.start(); !callers)
+        return callers;
+    log_line(log_level::info, "started",
+             {{"callers", impl_->settings_.callers_address_},
+              {"peers", impl_->settings_.peers_address_},
+              {"data_centre", impl_->settings_.data_centre_}});
+    return {};
+}
+
+void proxy_node::drain()
+{
+    impl_->draining_ = true;
+}
+
+bool proxy_node::draining() const
+{
+    return impl_->draining_;
+}
+
+bool proxy_node::wait_for_drain()
+{
+    auto& node = *impl_;
+    while (!node.draining_)
+        sleep_ms(drain_poll_ms);
+    node.operators_.set_draining();
+    node.control_.call(
+        [&](instant)
+        {
+            node.control_.peers().start_draining();
+        });
+    node.journal_.add({.what_ = "drain",
+                       .subject_ = node.settings_.name_,
+                       .cause_ = "ordered",
+                       .correlation_ = {}});
+    sleep_ms(node.settings_.drain_notice_ms_);
+    node.traffic_.refuse_new_work();
+    instant bound = monotonic_now() + node.settings_.drain_bound_ms_;
+    auto busy = [&node]
+    {
+        return node.traffic_.counters().in_flight_ > 0 ||
+               node.traffic_.open_transactions() > 0;
+    };
+    while (busy() && monotonic_now() < bound)
+        sleep_ms(drain_poll_ms);
+    bool clean = !busy();
+    log_line(log_level::info, "drained", {{"clean", clean}});
+    // The last answers are on their way to the callers' sockets.
+    constexpr std::int64_t last_answers_ms = 100;
+    sleep_ms(last_answers_ms);
+    return clean;
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/node/service_route.h
@@ -0,0 +1,84 @@
+#ifndef TANAGERSPAN_NODE_SERVICE_ROUTE_H
+#define TANAGERSPAN_NODE_SERVICE_ROUTE_H
+
+// What traffic threads read: an immutable snapshot of the fleet, published
+// by the control thread. A home service is shared between the snapshots that
+// name it, and its view cell, pools and gates are thread safe.
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coordination/retry_budget.h"
+#include "state/team_settings.h"
+#include "transport/connection_pool.h"
+#include "transport/slot_gate.h"
+#include "transport/view_cell.h"
+
+namespace tanagerspan
+{
+
+/// This proxy's way to one member: its seat's connections and slots there.
+struct member_port
+{
+    member_port(connection_pool::options pool, admission::options gate)
+        : address_(pool.address_), pool_(std::move(pool)), gate_(gate)
+    {
+    }
+
+    std::string address_;
+    connection_pool pool_;
+    slot_gate gate_;
+};
+
+/// A service that this proxy is a home of.
+struct home_service
+{
+    std::string seat_; ///< as the member knows it: "rank/homes"
+    view_cell view_;
+    std::vector<std::unique_ptr<member_port>> members_;
+    std::function<void()> nudge_;
+    std::mutex budget_mutex_;
+    retry_budget budget_{{}};
+};
+
+/// Where a service's statements go.
+struct service_route
+{
+    std::string service_;
+    std::string team_;
+    service_settings settings_;
+    std::uint64_t version_ = 0;
+    std::vector<std::string> home_names_;
+    std::vector<std::string> home_addresses_;
+    std::shared_ptr<home_service> home_; ///< null if not a home
+};
+
+struct fleet_snapshot
+{
+    std::map<std::string, service_route, std::less<>> routes_;
+    std::map<std::string, std::string, std::less<>> peer_addresses_;
+    bool ready_ = false;
+};
+
+/// Counters for operators; see docs/OPERATIONS.md.
+struct node_counters
+{
+    std::atomic<std::uint64_t> reads_{0};
+    std::atomic<std::uint64_t> replica_reads_{0};
+    std::atomic<std::uint64_t> writes_{0};
+    std::atomic<std::uint64_t> not_run_{0};
+    std::atomic<std::uint64_t> unknown_{0};
+    std::atomic<std::uint64_t> forwarded_{0};
+    std::atomic<std::uint64_t> retries_{0};
+    std::atomic<std::int64_t> in_flight_{0};
+};
+
+} // namespace tanagerspan
+
+#endif
--- /dev/null
+++ b/node/statement_driver.h
@@ -0,0 +1,87 @@
+#ifndef TANAGERSPAN_NODE_STATEMENT_DRIVER_H
+#define TANAGERSPAN_NODE_STATEMENT_DRIVER_H
+
+// Runs a statement machine of coordination/ against a home service: does its
+// attempts, its waits, and returns its answer. On a traffic thread.
+
+#include <functional>
+
+#include "coordination/statement.h"
+#include "node/service_route.h"
+#include "transport/monotonic_clock.h"
+
+namespace tanagerspan
+{
+
+/// One attempt with a slot held and nothing else decided.
+using attempt = std::function<attempt_result(const send_attempt&)>;
+
+/// A slot at `port`, held while in scope.
+class held_slot
+{
+public:
+    explicit held_slot(slot_gate& gate) : gate_(gate)
+    {
+    }
+    ~held_slot()
+    {
+        gate_.leave();
+    }
+    held_slot(const held_slot&) = delete;
+    held_slot& operator=(const held_slot&) = delete;
+
+private:
+    slot_gate& gate_;
+};
+
+template <class Machine>
+statement_answer drive(Machine& machine, home_service& home, instant deadline,
+                       node_counters& counters, const attempt& run)
+{
+    // A nudge that was asked for but not yet answered is not repeated sooner
+    // than this.
+    constexpr std::int64_t longest_wait_ms = 50;
+    constexpr std::int64_t nudge_again_ms = 5;
+    bool first = true;
+    auto view = home.view_.get();
+    while (true)
+    {
+        instant now = monotonic_now();
+        auto action = machine.step(*view, now);
+        if (auto* answer = std::get_if<statement_answer>(&action))
+            return std::move(*answer);
+        if (const auto* wait = std::get_if<wait_for_view>(&action))
+        {
+            std::int64_t span = std::min(wait->until_ - now, longest_wait_ms);
+            if (wait->nudge_)
+            {
+                home.nudge_();
+                span = std::min(span, nudge_again_ms);
+            }
+            view = home.view_.wait_other(view, std::max<std::int64_t>(span, 1));
+            continue;
+        }
+        const auto& send = std::get<send_attempt>(action);
+        bool allowed = true;
+        {
+            std::lock_guard lock(home.budget_mutex_);
+            if (first)
+                home.budget_.on_first_attempt();
+            else
+                allowed = home.budget_.try_spend();
+        }
+        if (!first)
+            ++counters.retries_;
+        first = false;
+        machine.on_attempt(
+            allowed ? run(send)
+                    : fail(error_code::over_limit, "the retry budget is spent"),
+            monotonic_now());
+        view = home.view_.get();
+        static_cast<void>(deadline);
+    }
+}
+
+} // namespace tanagerspan
+
+#endif
--- /dev/null
+++ b/node/transactions.cc
@@ -0,0 +1,291 @@
+// The part of `traffic` that carries transactions.
+//
+// A transaction is pinned: one connection to one member, in one term, on the
+// proxy that its handle names. The handle at another proxy is passed on to
+// that proxy by one hop. A connection that carried a transaction goes back to
+// the pool only after its end was answered; otherwise it is closed, and the
+// endpoint rolls back what was not committed.
+
+#include <algorithm>
+
+#include "node/statement_driver.h"
+#include "node/traffic.h"
+#include "protocol/transaction_messages.h"
+#include "transport/endpoint_client.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+constexpr std::int64_t connect_timeout_ms = 500;
+constexpr std::int64_t call_timeout_ms = 5000;
+constexpr std::int64_t idle_limit_ms = 5000;
+constexpr std::int64_t begin_wait_ms = 2000;
+constexpr char handle_separator = '~';
+
+http_answer refuse(const failure& cause)
+{
+    return to_http(cause, outcome::not_run);
+}
+
+std::string proxy_of(const std::string& handle)
+{
+    return handle.substr(0, handle.find(handle_separator));
+}
+
+} // namespace
+
+struct traffic::transaction
+{
+    std::mutex mutex_; // one statement of a transaction at a time
+    std::string handle_;
+    std::string service_;
+    std::string team_;
+    std::shared_ptr<home_service> home_;
+    std::size_t member_ = 0;
+    std::uint64_t term_ = 0;
+    std::string endpoint_handle_;
+    std::unique_ptr<http_connection> connection_;
+    instant used_;
+
+    // The connection goes back clean, or is closed.
+    void end(bool clean)
+    {
+        if (!connection_)
+            return;
+        if (!clean)
+            connection_->close();
+        home_->members_[member_]->pool_.give(std::move(connection_),
+                                             monotonic_now());
+    }
+};
+
+std::size_t traffic::open_transactions() const
+{
+    std::lock_guard lock(transactions_mutex_);
+    return transactions_.size();
+}
+
+http_answer traffic::transactions(const std::string& path,
+                                  const std::string& body, bool forwarded)
+{
+    expire_transactions(monotonic_now());
+    if (path == "/v1/transactions")
+        return begin(path, body, forwarded);
+    // /v1/transactions/HANDLE/VERB
+    std::string rest = path.substr(std::string("/v1/transactions/").size());
+    auto slash = rest.find('/');
+    if (slash == std::string::npos)
+        return refuse({error_code::not_found, path});
+    std::string handle = rest.substr(0, slash);
+    std::string verb = rest.substr(slash + 1);
+    std::string owner = proxy_of(handle);
+    if (owner == settings_.name_)
+        return in_transaction(handle, verb, body);
+    auto snapshot = control_.snapshot();
+    auto peer = snapshot->peer_addresses_.find(owner);
+    if (forwarded || peer == snapshot->peer_addresses_.end())
+        return refuse({error_code::unknown_transaction, handle});
+    ++counters_.forwarded_;
+    failure cause;
+    auto answer = forward_to(peer->second, path, body, call_timeout_ms, cause);
+    if (answer.status_ != 0)
+        return answer;
+    bool open = verb == "commit" && cause.code_ != error_code::not_sent;
+    return to_http(cause, open ? outcome::unknown : outcome::not_run);
+}
+
+http_answer traffic::begin(const std::string& path, const std::string& body,
+                           bool forwarded)
+{
+    auto request = decode_text<begin_request>(body);
+    if (!request)
+        return refuse(request.error());
+    auto snapshot = control_.snapshot();
+    auto at = snapshot->routes_.find(request->service_);
+    if (at == snapshot->routes_.end())
+        return refuse({error_code::unknown_service, request->service_});
+    const auto& route = at->second;
+    if (!route.home_)
+    {
+        if (forwarded)
+            return refuse({error_code::not_home, request->service_});
+        return forward(route, path, body, true, begin_wait_ms);
+    }
+    instant deadline = monotonic_now() + begin_wait_ms;
+    auto view = route.home_->view_.get();
+    while (!view->primary() && monotonic_now() < deadline)
+        view = route.home_->view_.wait_other(view, begin_wait_ms);
+    auto primary = view->primary();
+    if (!primary)
+        return refuse({error_code::no_primary, "no primary is known"});
+
+    auto open = std::make_shared<transaction>();
+    open->service_ = route.service_;
+    open->team_ = route.team_;
+    open->home_ = route.home_;
+    open->member_ = *primary;
+    open->term_ = view->members_[*primary].status_.promised_;
+    open->used_ = monotonic_now();
+    auto& port = *route.home_->members_[*primary];
+    auto connection = port.pool_.take(connect_timeout_ms, monotonic_now());
+    if (!connection)
+        return refuse(connection.error());
+    open->connection_ = std::move(*connection);
+    auto begun = call_endpoint<endpoint_transaction>(
+        *open->connection_, "/v1/begin",
+        endpoint_transaction{.term_ = open->term_}, call_timeout_ms,
+        route.home_->seat_);
+    if (!begun)
+    {
+        open->end(is_endpoint_refusal(begun.error().code_));
+        return refuse(begun.error());
+    }
+    open->endpoint_handle_ = begun->handle_;
+    open->handle_ = settings_.name_ + handle_separator +
+                    std::to_string(monotonic_us()) + "-" +
+                    std::to_string(next_handle_++);
+    std::string handle = open->handle_;
+    std::lock_guard lock(transactions_mutex_);
+    transactions_[handle] = std::move(open);
+    return {200,
+            nlohmann::json{{"outcome", "done"}, {"handle", handle}}.dump()};
+}
+
+http_answer traffic::in_transaction(const std::string& handle,
+                                    const std::string& verb,
+                                    const std::string& body)
+{
+    std::shared_ptr<transaction> open;
+    {
+        std::lock_guard lock(transactions_mutex_);
+        auto at = transactions_.find(handle);
+        if (at != transactions_.end())
+            open = at->second;
+    }
+    if (!open)
+        return refuse({error_code::unknown_transaction,
+                       "ended, expired, or of an earlier process"});
+    std::lock_guard one_at_a_time(open->mutex_);
+    if (!open->connection_)
+        return refuse({error_code::unknown_transaction, "already ended"});
+    open->used_ = monotonic_now();
+    if (verb == "statements")
+        return run_in(*open, body);
+    if (verb == "commit")
+    {
+        auto answer = commit(*open, body);
+        drop(handle);
+        return answer;
+    }
+    if (verb != "rollback")
+        return refuse({error_code::not_found, verb});
+    auto ended = call_endpoint<endpoint_transaction>(
+        *open->connection_, "/v1/rollback",
+        endpoint_transaction{.handle_ = open->endpoint_handle_},
+        call_timeout_ms, open->home_->seat_);
+    open->end(ended.has_value());
+    drop(handle);
+    return {200, R"({"outcome":"done"})"};
+}
+
+http_answer traffic::run_in(transaction& open, const std::string& body)
+{
+    auto request = decode_text<transaction_statement>(body);
+    if (!request)
+        return refuse(request.error());
+    auto& port = *open.home_->members_[open.member_];
+    constexpr std::int64_t transaction_priority = 3;
+    instant deadline = monotonic_now() + call_timeout_ms;
+    if (auto slot = port.gate_.enter(transaction_priority, deadline); !slot)
+        return refuse(slot.error());
+    held_slot held(port.gate_);
+    auto got = call_endpoint<execute_answer>(
+        *open.connection_, "/v1/transaction",
+        endpoint_transaction{.term_ = open.term_,
+                             .handle_ = open.endpoint_handle_,
+                             .operations_ = request->operations_},
+        call_timeout_ms, open.home_->seat_);
+    if (got)
+        return {200, nlohmann::json{{"outcome", "done"},
+                                    {"results", encode(got->results_)}}
+                         .dump()};
+    // Nothing of the transaction has been committed, and without the
+    // connection it never will be.
+    if (!is_endpoint_refusal(got.error().code_))
+        open.end(false);
+    return refuse(got.error());
+}
+
+http_answer traffic::commit(transaction& open, const std::string& body)
+{
+    auto request = decode_text<commit_request>(body);
+    if (!request)
+        return refuse(request.error());
+    auto token =
+        session_token::from_text(request->token_, settings_.fleet_key_);
+    if (!token)
+        return refuse(token.error());
+    std::int64_t span =
+        request->deadline_ms_ < 0 ? call_timeout_ms : request->deadline_ms_;
+    instant deadline = monotonic_now() + span;
+    write_statement machine({.deadline_ = deadline,
+                             .has_request_id_ = !request->request_id_.empty(),
+                             .pinned_term_ = open.term_});
+    auto run = [&](const send_attempt&) -> attempt_result
+    {
+        if (!open.connection_)
+            return fail(error_code::unknown_transaction, "already ended");
+        std::int64_t left =
+            std::max<std::int64_t>(deadline - monotonic_now(), 1);
+        auto got = call_endpoint<execute_answer>(
+            *open.connection_, "/v1/commit",
+            endpoint_transaction{.term_ = open.term_,
+                                 .handle_ = open.endpoint_handle_,
+                                 .request_id_ = request->request_id_,
+                                 .operations_ = {}},
+            left, open.home_->seat_);
+        open.end(got.has_value() || is_endpoint_refusal(got.error().code_));
+        return got;
+    };
+    auto answer = drive(machine, *open.home_, deadline, counters_, run);
+    open.end(false);
+    if (answer.outcome_ == outcome::done)
+    {
+        ++counters_.writes_;
+        token->observe(open.service_, answer.position_);
+    }
+    return to_http(answer, token->to_text(settings_.fleet_key_));
+}
+
+void traffic::drop(const std::string& handle)
+{
+    std::lock_guard lock(transactions_mutex_);
+    transactions_.erase(handle);
+}
+
+void traffic::expire_transactions(instant now)
+{
+    std::vector<std::shared_ptr<transaction>> old;
+    {
+        std::lock_guard lock(transactions_mutex_);
+        for (auto at = transactions_.begin(); at != transactions_.end();)
+        {
+            if (now - at->second->used_ <= idle_limit_ms)
+            {
+                ++at;
+                continue;
+            }
+            old.push_back(at->second);
+            at = transactions_.erase(at);
+        }
+    }
+    for (auto& open : old)
+    {
+        std::lock_guard lock(open->mutex_);
+        open->end(false);
+    }
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/protocol/peer_frame.cc
@@ -0,0 +1,161 @@
+#include "protocol/peer_frame.h"
+
+#include <msgpack.hpp>
+
+namespace tanagerspan
+{
+namespace
+{
+
+using packer = msgpack::packer<msgpack::sbuffer>;
+
+constexpr int deepest_nesting = 32;
+
+void pack(packer& out, const nlohmann::json& value)
+{
+    if (value.is_object())
+    {
+        out.pack_map(static_cast<std::uint32_t>(value.size()));
+        for (const auto& [key, item] : value.items())
+        {
+            out.pack(key);
+            pack(out, item);
+        }
+    }
+    else if (value.is_array())
+    {
+        out.pack_array(static_cast<std::uint32_t>(value.size()));
+        for (const auto& item : value)
+            pack(out, item);
+    }
+    else if (value.is_string())
+        out.pack(value.get_ref<const std::string&>());
+    else if (value.is_boolean())
+        out.pack(value.get<bool>());
+    else if (value.is_number_unsigned())
+        out.pack(value.get<std::uint64_t>());
+    else if (value.is_number_integer())
+        out.pack(value.get<std::int64_t>());
+    else if (value.is_number_float())
+        out.pack(value.get<double>());
+    else
+        out.pack_nil();
+}
+
+// Msgpack values that records do not use (binary, extensions, keys that are
+// not strings) become null, which no field's decoder accepts.
+nlohmann::json unpack(const msgpack::object& value)
+{
+    switch (value.type)
+    {
+    case msgpack::type::BOOLEAN:
+        return value.via.boolean;
+    case msgpack::type::POSITIVE_INTEGER:
+        return value.via.u64;
+    case msgpack::type::NEGATIVE_INTEGER:
+        return value.via.i64;
+    case msgpack::type::FLOAT32:
+    case msgpack::type::FLOAT64:
+        return value.via.f64;
+    case msgpack::type::STR:
+        return std::string(value.via.str.ptr, value.via.str.size);
+    case msgpack::type::ARRAY:
+    {
+        auto out = nlohmann::json::array();
+        for (const auto& item :
+             std::span(value.via.array.ptr, value.via.array.size))
+            out.push_back(unpack(item));
+        return out;
+    }
+    case msgpack::type::MAP:
+    {
+        auto out = nlohmann::json::object();
+        for (const auto& item :
+             std::span(value.via.map.ptr, value.via.map.size))
+        {
+            if (item.key.type == msgpack::type::STR)
+                out[std::string(item.key.via.str.ptr, item.key.via.str.size)] =
+                    unpack(item.val);
+        }
+        return out;
+    }
+    default:
+        return nullptr;
+    }
+}
+
+} // namespace
+
+std::string encode_frame(const peer_frame& frame)
+{
+    msgpack::sbuffer payload;
+    packer out(payload);
+    out.pack_array(4);
+    out.pack(peer_version);
+    out.pack(static_cast<std::uint8_t>(frame.type_));
+    out.pack(frame.correlation_);
+    pack(out, frame.body_);
+
+    auto size = static_cast<std::uint32_t>(payload.size());
+    std::string bytes;
+    bytes.reserve(frame_header_bytes + size);
+    for (int shift = 24; shift >= 0; shift -= 8)
+        bytes.push_back(static_cast<char>((size >> shift) & 0xff));
+    bytes.append(payload.data(), payload.size());
+    return bytes;
+}
+
+result<std::size_t> decode_length(std::span<const char> header)
+{
+    if (header.size() < frame_header_bytes)
+        return fail(error_code::malformed, "frame: header cut short");
+    std::size_t size = 0;
+    for (std::size_t i = 0; i < frame_header_bytes; ++i)
+        size = size << 8 | static_cast<unsigned char>(header[i]);
+    if (size > max_frame_bytes)
+        return fail(error_code::too_large, "frame: " + std::to_string(size) +
+                                               " bytes, allowed " +
+                                               std::to_string(max_frame_bytes));
+    if (size == 0)
+        return fail(error_code::malformed, "frame: empty");
+    return size;
+}
+
+result<peer_frame> decode_payload(std::span<const char> payload)
+{
+    // The library reports bad input by exceptions; they end here. The limits
+    // keep a hostile length from allocating more than the frame itself could
+    // hold.
+    msgpack::object_handle handle;
+    try
+    {
+        std::size_t used = 0;
+        auto n = payload.size();
+        msgpack::unpack_limit limits(n, n, n, n, n, deepest_nesting);
+        handle =
+            msgpack::unpack(payload.data(), n, used, nullptr, nullptr, limits);
+        if (used != n)
+            return fail(error_code::malformed, "frame: bytes left over");
+    }
+    catch (const std::exception& bad)
+    {
+        return fail(error_code::malformed, std::string("frame: ") + bad.what());
+    }
+    auto whole = unpack(handle.get());
+    if (!whole.is_array() || whole.size() != 4 ||
+        !whole[0].is_number_unsigned() || !whole[1].is_number_unsigned() ||
+        !whole[2].is_number_unsigned())
+        return fail(error_code::malformed, "frame: not [version, type, id, "
+                                           "body]");
+    if (whole[0].get<std::uint64_t>() != peer_version)
+        return fail(error_code::bad_version,
+                    "frame: version " + whole[0].dump() + ", spoken: 1");
+    auto type = whole[1].get<std::uint64_t>();
+    if (type < 1 || type > 4)
+        return fail(error_code::malformed, "frame: type " + whole[1].dump());
+    return peer_frame{.type_ = static_cast<frame_type>(type),
+                      .correlation_ = whole[2].get<std::uint64_t>(),
+                      .body_ = std::move(whole[3])};
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/protocol/peer_frame.h
@@ -0,0 +1,53 @@
+#ifndef TANAGERSPAN_PROTOCOL_PEER_FRAME_H
+#define TANAGERSPAN_PROTOCOL_PEER_FRAME_H
+
+// Frames between proxies: a length of four bytes, most significant first,
+// then a msgpack array [version, type, correlation id, body]. The body is a
+// record as a msgpack map (see state/record.h).
+//
+// A frame of another version, an unknown type, a length over the limit or a
+// body that does not decode is a typed failure; the connection that it came
+// on is closed, since nothing after it can be trusted.
+
+#include <cstdint>
+#include <span>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "state/failure.h"
+
+namespace tanagerspan
+{
+
+constexpr std::uint64_t peer_version = 1;
+constexpr std::size_t frame_header_bytes = 4;
+constexpr std::size_t max_frame_bytes = 4 * 1024 * 1024;
+
+enum class frame_type : std::uint8_t
+{
+    forward = 1,   ///< a caller's request for a service's home proxy
+    forwarded = 2, ///< its answer
+    gossip = 3,    ///< membership and settings
+    gossip_back = 4
+};
+
+struct peer_frame
+{
+    frame_type type_ = frame_type::gossip;
+    std::uint64_t correlation_ = 0;
+    nlohmann::json body_;
+};
+
+/// The frame's bytes with the length in front.
+std::string encode_frame(const peer_frame& frame);
+
+/// The payload's length. Errors: malformed (short header), too_large.
+result<std::size_t> decode_length(std::span<const char> header);
+
+/// Errors: malformed, bad_version.
+result<peer_frame> decode_payload(std::span<const char> payload);
+
+} // namespace tanagerspan
+
+#endif
--- /dev/null
+++ b/protocol/platform_messages.h
@@ -0,0 +1,83 @@
+#ifndef TANAGERSPAN_PROTOCOL_PLATFORM_MESSAGES_H
+#define TANAGERSPAN_PROTOCOL_PLATFORM_MESSAGES_H
+
+// What a proxy and the platform's services say to each other. The assumptions
+// behind each record are listed in docs/STAND-INS.md.
+
+#include <cstdint>
+#include <string>
+
+#include "state/record.h"
+
+namespace tanagerspan
+{
+
+/// A row: the version rises by one with each change of this row.
+struct table_row
+{
+    std::string key_;
+    std::uint64_t version_ = 0;
+    std::uint64_t revision_ = 0; ///< of the whole table when it was changed
+    std::string value_;
+};
+
+constexpr auto fields_of(const table_row*)
+{
+    return std::tuple{field{"key", &table_row::key_},
+                      field{"version", &table_row::version_},
+                      field{"revision", &table_row::revision_},
+                      field{"value", &table_row::value_}};
+}
+
+/// Sets a row if its version is still `expected_`; 0 for a row that is new.
+struct table_change
+{
+    std::string key_;
+    std::uint64_t expected_ = 0;
+    std::string value_;
+};
+
+constexpr auto fields_of(const table_change*)
+{
+    return std::tuple{
+        field{"key",
+              &table_change::key_,
+              {.min_ = 1, .max_ = 200, .required_ = true}},
+        field{"expected", &table_change::expected_, {.required_ = true}},
+        field{"value",
+              &table_change::value_,
+              {.max_ = 1'000'000, .required_ = true}}};
+}
+
+/// A host as the platform lists it, with a lag.
+struct listed_host
+{
+    std::string name_;
+    std::string address_;
+    bool leaving_ = false;
+};
+
+constexpr auto fields_of(const listed_host*)
+{
+    return std::tuple{field{"name", &listed_host::name_},
+                      field{"address", &listed_host::address_},
+                      field{"leaving", &listed_host::leaving_}};
+}
+
+/// Asks for one row, or for the rows of a prefix changed after a revision.
+struct table_question
+{
+    std::string key_;
+    std::uint64_t revision_ = 0;
+};
+
+constexpr auto fields_of(const table_question*)
+{
+    return std::tuple{
+        field{"key", &table_question::key_, {.max_ = 200, .required_ = true}},
+        field{"revision", &table_question::revision_}};
+}
+
+} // namespace tanagerspan
+
+#endif
--- /dev/null
+++ b/stand_ins/member_state.h
@@ -0,0 +1,158 @@
+#ifndef TANAGERSPAN_STAND_INS_MEMBER_STATE_H
+#define TANAGERSPAN_STAND_INS_MEMBER_STATE_H
+
+// A stand-in for one member of a database group: a transactional key-value
+// store with a replicated log, without I/O. The member daemon and the fakes
+// of the tests both run this class. It holds no decision of the proxy's;
+// what a proxy may assume of it is listed in docs/STAND-INS.md.
+//
+// Replication is asynchronous: a follower asks the primary for what comes
+// after its own log and applies it. A follower whose log ends in entries
+// that the primary does not have cuts them off. All of promised term,
+// claimant and log outlive a crash.
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "state/endpoint_records.h"
+#include "state/instant.h"
+
+namespace tanagerspan
+{
+
+/// One committed transaction.
+struct log_entry
+{
+    std::uint64_t term_ = 0;
+    std::string request_id_;
+    std::vector<operation> operations_;
+    std::vector<operation_result> results_;
+};
+
+constexpr auto fields_of(const log_entry*)
+{
+    return std::tuple{field{"term", &log_entry::term_},
+                      field{"request_id", &log_entry::request_id_},
+                      field{"operations", &log_entry::operations_},
+                      field{"results", &log_entry::results_}};
+}
+
+/// A follower's question for entries after `index_`, whose last entry there
+/// is of term `last_term_`; the follower has promised `promised_`.
+struct pull_request
+{
+    std::uint64_t promised_ = 0;
+    std::uint64_t index_ = 0;
+    std::uint64_t last_term_ = 0;
+};
+
+constexpr auto fields_of(const pull_request*)
+{
+    return std::tuple{field{"promised", &pull_request::promised_},
+                      field{"index", &pull_request::index_},
+                      field{"last_term", &pull_request::last_term_}};
+}
+
+/// With `diverged_`, the follower's log differs at its end: it drops the last
+/// entry and asks again.
+struct pull_answer
+{
+    std::uint64_t term_ = 0;
+    std::string claimant_;
+    bool diverged_ = false;
+    std::vector<log_entry> entries_;
+};
+
+constexpr auto fields_of(const pull_answer*)
+{
+    return std::tuple{field{"term", &pull_answer::term_},
+                      field{"claimant", &pull_answer::claimant_},
+                      field{"diverged", &pull_answer::diverged_},
+                      field{"entries", &pull_answer::entries_}};
+}
+
+class member_state
+{
+public:
+    result<execute_answer> execute(const execute_request& request, instant now);
+    result<execute_answer> read(const std::vector<operation>& operations) const;
+    member_status status(instant now) const;
+
+    /// Promises the term if it is higher than the one promised. The status
+    /// that comes back says whose the promise is.
+    member_status promise(const term_order& order, instant now);
+
+    /// Starts to lead the term if it was promised to this claimant.
+    member_status lead(const term_order& order, instant now);
+
+    /// Takes no writes for a while, in this term only.
+    member_status hold(std::uint64_t term, std::int64_t hold_ms, instant now);
+
+    result<pull_answer> serve_pull(const pull_request& request,
+                                   std::size_t most) const;
+    pull_request make_pull() const;
+    void apply_pull(const pull_request& asked, const pull_answer& got);
+
+    /// A primary of `term` answered a pull.
+    void hear_primary(std::uint64_t term, instant now);
+
+    /// Transactions: a handle, statements, then a commit through `execute`.
+    result<std::string> begin(std::uint64_t term, instant now);
+    result<execute_answer> run_in(const std::string& handle,
+                                  const std::vector<operation>& operations,
+                                  instant now);
+    result<execute_answer> commit(const std::string& handle,
+                                  const std::string& request_id, instant now);
+    void rollback(const std::string& handle);
+
+    void set_leaving(bool leaving)
+    {
+        leaving_ = leaving;
+    }
+    log_position position() const;
+    const std::vector<log_entry>& log() const
+    {
+        return log_;
+    }
+    bool leading() const
+    {
+        return leading_;
+    }
+
+private:
+    using rows = std::map<std::string, std::string>;
+
+    struct transaction
+    {
+        rows overlay_;
+        std::vector<operation> operations_;
+        std::vector<operation_result> results_;
+        std::uint64_t began_at_ = 0;
+        instant used_;
+    };
+
+    static operation_result look(const rows& data, const operation& op);
+    void append(log_entry entry);
+    void rebuild();
+    result<void> check_leads(std::uint64_t term, instant now) const;
+    void expire_transactions(instant now);
+
+    std::uint64_t promised_ = 0;
+    std::string claimant_;
+    bool leading_ = false;
+    bool leaving_ = false;
+    instant held_until_ = never;
+    instant heard_primary_ = never;
+    std::vector<log_entry> log_;
+    rows data_;
+    std::map<std::string, std::uint64_t> changed_at_;
+    std::map<std::string, std::uint64_t> request_ids_;
+    std::map<std::string, transaction> transactions_;
+    std::uint64_t next_transaction_ = 1;
+};
+
+} // namespace tanagerspan
+
+#endif
--- /dev/null
+++ b/state/endpoint_records.h
@@ -0,0 +1,200 @@
+#ifndef TANAGERSPAN_STATE_ENDPOINT_RECORDS_H
+#define TANAGERSPAN_STATE_ENDPOINT_RECORDS_H
+
+// What a proxy and a member of a database group say to each other. The
+// assumptions behind each record are listed in docs/STAND-INS.md.
+//
+// Terms: a member that has promised a term refuses every order, statement and
+// replication of lower terms. A term has one claimant; a member promises a
+// term to the first claimant that asks. A leading member started its term
+// with an entry of its own.
+
+#include <string>
+#include <vector>
+
+#include "state/log_position.h"
+#include "state/record.h"
+
+namespace tanagerspan
+{
+
+constexpr auto fields_of(const log_position*)
+{
+    return std::tuple{field{"term", &log_position::term_},
+                      field{"index", &log_position::index_}};
+}
+
+/// One operation of a statement: get, list, put, insert, remove, add. An
+/// `add` adds a number to a number, so running it twice would show.
+struct operation
+{
+    std::string op_;
+    std::string key_;
+    std::string value_;
+
+    bool operator==(const operation&) const = default;
+};
+
+constexpr std::int64_t max_key_bytes = 512;
+constexpr std::int64_t max_value_bytes = 65536;
+
+constexpr auto fields_of(const operation*)
+{
+    return std::tuple{
+        field{
+            "op", &operation::op_, {.min_ = 1, .max_ = 16, .required_ = true}},
+        field{"key",
+              &operation::key_,
+              {.min_ = 1, .max_ = max_key_bytes, .required_ = true}},
+        field{"value", &operation::value_, {.max_ = max_value_bytes}}};
+}
+
+/// What one operation gave. `rows_` holds keys and values in turn.
+struct operation_result
+{
+    bool found_ = false;
+    std::string value_;
+    std::vector<std::string> rows_;
+
+    bool operator==(const operation_result&) const = default;
+};
+
+constexpr auto fields_of(const operation_result*)
+{
+    return std::tuple{field{"found", &operation_result::found_},
+                      field{"value", &operation_result::value_},
+                      field{"rows", &operation_result::rows_}};
+}
+
+/// True when the operation changes nothing.
+inline bool is_read(const operation& op)
+{
+    return op.op_ == "get" || op.op_ == "list";
+}
+
+inline bool is_known(const operation& op)
+{
+    return is_read(op) || op.op_ == "put" || op.op_ == "insert" ||
+           op.op_ == "remove" || op.op_ == "add";
+}
+
+/// Writes, run by the primary of exactly `term_`. With a request id, the id
+/// and the results are recorded in the same transaction as the effect.
+struct execute_request
+{
+    std::uint64_t term_ = 0;
+    std::string request_id_;
+    std::vector<operation> operations_;
+};
+
+constexpr auto fields_of(const execute_request*)
+{
+    return std::tuple{field{"term", &execute_request::term_},
+                      field{"request_id", &execute_request::request_id_},
+                      field{"operations", &execute_request::operations_}};
+}
+
+/// `position_` is the end of the log that holds the effect. For a recorded
+/// request id the first results come back, with `replayed_`.
+struct execute_answer
+{
+    log_position position_;
+    bool replayed_ = false;
+    std::vector<operation_result> results_;
+};
+
+constexpr auto fields_of(const execute_answer*)
+{
+    return std::tuple{field{"position", &execute_answer::position_},
+                      field{"replayed", &execute_answer::replayed_},
+                      field{"results", &execute_answer::results_}};
+}
+
+/// A read at any member. A member whose log ends before `at_least_` waits up
+/// to `wait_ms_`, then answers with the position that it has.
+struct read_request
+{
+    log_position at_least_;
+    std::int64_t wait_ms_ = 0;
+    std::vector<operation> operations_;
+};
+
+constexpr auto fields_of(const read_request*)
+{
+    return std::tuple{field{"at_least", &read_request::at_least_},
+                      field{"wait_ms", &read_request::wait_ms_},
+                      field{"operations", &read_request::operations_}};
+}
+
+/// A status question; answered when the log's end differs from `known_`, or
+/// the promised term differs from `known_promised_`, or after `wait_ms_`.
+struct status_request
+{
+    log_position known_;
+    std::uint64_t known_promised_ = 0;
+    std::int64_t wait_ms_ = 0;
+};
+
+constexpr auto fields_of(const status_request*)
+{
+    return std::tuple{field{"known", &status_request::known_},
+                      field{"known_promised", &status_request::known_promised_},
+                      field{"wait_ms", &status_request::wait_ms_}};
+}
+
+/// What a member says of itself.
+struct member_status
+{
+    std::uint64_t promised_ = 0;          ///< highest term promised
+    std::string claimant_;                ///< to whom
+    log_position position_;               ///< end of the applied log
+    bool leading_ = false;                ///< primary of the promised term
+    bool leaving_ = false;                ///< wants no new work
+    std::int64_t primary_silence_ms_ = 0; ///< since a primary was last heard
+
+    bool operator==(const member_status&) const = default;
+};
+
+constexpr auto fields_of(const member_status*)
+{
+    return std::tuple{
+        field{"promised", &member_status::promised_},
+        field{"claimant", &member_status::claimant_},
+        field{"position", &member_status::position_},
+        field{"leading", &member_status::leading_},
+        field{"leaving", &member_status::leaving_},
+        field{"primary_silence_ms", &member_status::primary_silence_ms_}};
+}
+
+/// A claim of a term (promise it) or the order to lead it.
+struct term_order
+{
+    std::uint64_t term_ = 0;
+    std::string claimant_;
+};
+
+constexpr auto fields_of(const term_order*)
+{
+    return std::tuple{
+        field{"term", &term_order::term_, {.min_ = 1, .required_ = true}},
+        field{"claimant",
+              &term_order::claimant_,
+              {.min_ = 1, .max_ = 128, .required_ = true}}};
+}
+
+/// A typed refusal or failure as it travels.
+struct failure_record
+{
+    std::string error_;
+    std::string detail_;
+};
+
+constexpr auto fields_of(const failure_record*)
+{
+    return std::tuple{field{"error", &failure_record::error_},
+                      field{"detail", &failure_record::detail_}};
+}
+
+} // namespace tanagerspan
+
+#endif
--- /dev/null
+++ b/state/record.cc
@@ -0,0 +1,40 @@
+#include "state/record.h"
+
+namespace tanagerspan
+{
+
+namespace
+{
+
+// A document nested deeper than this is refused before it is decoded, so that
+// a hostile request cannot exhaust the stack of a traffic thread.
+constexpr int deepest_nesting = 32;
+
+bool too_deep(std::string_view text)
+{
+    int depth = 0;
+    for (char c : text)
+    {
+        if (c == '[' || c == '{')
+            ++depth;
+        if (c == ']' || c == '}')
+            --depth;
+        if (depth > deepest_nesting)
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+result<nlohmann::json> parse_json(std::string_view text, bool comments)
+{
+    if (too_deep(text))
+        return fail(error_code::malformed, "(top): nested too deep");
+    auto parsed = nlohmann::json::parse(text, nullptr, false, comments);
+    if (parsed.is_discarded())
+        return fail(error_code::malformed, "(top): not well-formed JSON");
+    return parsed;
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/transport/json_log.h
@@ -0,0 +1,35 @@
+#ifndef TANAGERSPAN_TRANSPORT_JSON_LOG_H
+#define TANAGERSPAN_TRANSPORT_JSON_LOG_H
+
+// Structured logs: one JSON object a line on standard error, by Boost.Log.
+//
+//   start_json_log("proxy-1", log_level::info);
+//   log_line(log_level::info, "promotion", {{"term", 4}});
+//
+// Thread safe after `start_json_log`.
+
+#include <string>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+namespace tanagerspan
+{
+
+enum class log_level
+{
+    debug,
+    info,
+    warning,
+    error
+};
+
+void start_json_log(std::string process, log_level lowest);
+
+/// Writes one line with the time, level, process and event, then `fields`.
+void log_line(log_level level, std::string_view event,
+              nlohmann::json fields = nlohmann::json::object());
+
+} // namespace tanagerspan
+
+#endif
--- /dev/null
+++ b/transport/peer_link.cc
@@ -0,0 +1,255 @@
+#include "transport/peer_link.h"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Net/TCPServer.h>
+#include <Poco/Net/TCPServerConnection.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
+#include <Poco/ThreadPool.h>
+
+#include "transport/json_log.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+constexpr int us_per_ms = 1000;
+constexpr std::size_t max_idle_links = 8; // for each peer
+constexpr int idle_seconds = 60;
+
+void send_all(Poco::Net::StreamSocket& socket, std::span<const char> bytes)
+{
+    while (!bytes.empty())
+    {
+        int sent =
+            socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+        if (sent <= 0)
+            throw Poco::Net::ConnectionResetException();
+        bytes = bytes.subspan(static_cast<std::size_t>(sent));
+    }
+}
+
+bool receive_all(Poco::Net::StreamSocket& socket, std::span<char> into)
+{
+    while (!into.empty())
+    {
+        int got =
+            socket.receiveBytes(into.data(), static_cast<int>(into.size()));
+        if (got <= 0)
+            return false;
+        into = into.subspan(static_cast<std::size_t>(got));
+    }
+    return true;
+}
+
+result<peer_frame> receive_frame(Poco::Net::StreamSocket& socket)
+{
+    std::array<char, frame_header_bytes> header{};
+    if (!receive_all(socket, header))
+        return fail(error_code::lost, "closed by the peer");
+    auto length = decode_length(header);
+    if (!length)
+        return tl::unexpected(length.error());
+    std::string payload(*length, '\0');
+    if (!receive_all(socket, payload))
+        return fail(error_code::malformed, "frame: cut short");
+    return decode_payload(payload);
+}
+
+class peer_connection : public Poco::Net::TCPServerConnection
+{
+public:
+    peer_connection(const Poco::Net::StreamSocket& socket,
+                    const peer_handler& handler)
+        : TCPServerConnection(socket), handler_(handler)
+    {
+    }
+
+    void run() override
+    {
+        try
+        {
+            socket().setNoDelay(true);
+            socket().setReceiveTimeout(Poco::Timespan(idle_seconds, 0));
+            while (true)
+            {
+                auto frame = receive_frame(socket());
+                if (!frame)
+                {
+                    if (frame.error().code_ != error_code::lost)
+                        log_line(log_level::warning, "bad_peer_frame",
+                                 {{"error", name_of(frame.error().code_)},
+                                  {"detail", frame.error().detail_}});
+                    return;
+                }
+                auto back = handler_(*frame);
+                back.correlation_ = frame->correlation_;
+                send_all(socket(), encode_frame(back));
+            }
+        }
+        catch (const std::exception&)
+        {
+            return; // The peer went away; it knows what it did not get.
+        }
+    }
+
+private:
+    const peer_handler& handler_;
+};
+
+class connection_factory : public Poco::Net::TCPServerConnectionFactory
+{
+public:
+    explicit connection_factory(const peer_handler& handler) : handler_(handler)
+    {
+    }
+
+    Poco::Net::TCPServerConnection*
+    createConnection(const Poco::Net::StreamSocket& socket) override // NOLINT
+    {
+        return new peer_connection(socket, handler_);
+    }
+
+private:
+    const peer_handler& handler_;
+};
+
+} // namespace
+
+struct peer_listener::impl
+{
+    std::string address_;
+    int max_connections_;
+    peer_handler handler_;
+    std::unique_ptr<Poco::ThreadPool> threads_;
+    std::unique_ptr<Poco::Net::TCPServer> server_;
+};
+
+peer_listener::peer_listener(std::string address, int max_connections,
+                             peer_handler handler)
+    : impl_(std::make_unique<impl>())
+{
+    impl_->address_ = std::move(address);
+    impl_->max_connections_ = max_connections;
+    impl_->handler_ = std::move(handler);
+}
+
+peer_listener::~peer_listener()
+{
+    stop();
+}
+
+result<void> peer_listener::start()
+{
+    try
+    {
+        Poco::Net::ServerSocket socket;
+        socket.bind(Poco::Net::SocketAddress(impl_->address_), true);
+        constexpr int backlog = 256;
+        socket.listen(backlog);
+        auto params = Poco::makeAuto<Poco::Net::TCPServerParams>();
+        params->setMaxThreads(impl_->max_connections_);
+        impl_->threads_ =
+            std::make_unique<Poco::ThreadPool>(2, impl_->max_connections_ + 2);
+        impl_->server_ = std::make_unique<Poco::Net::TCPServer>(
+            new connection_factory(impl_->handler_), *impl_->threads_, socket,
+            params);
+        impl_->server_->start();
+        return {};
+    }
+    catch (const Poco::Exception& bad)
+    {
+        return fail(error_code::unavailable,
+                    impl_->address_ + ": " + bad.displayText());
+    }
+}
+
+void peer_listener::stop()
+{
+    if (impl_->server_)
+        impl_->server_->stop();
+}
+
+struct peer_links::impl
+{
+    std::mutex mutex_;
+    std::map<std::string, std::vector<Poco::Net::StreamSocket>> idle_;
+    std::atomic<std::uint64_t> next_id_{1};
+    std::atomic<std::uint64_t> bytes_{0};
+
+    // An idle link with nothing unread, or none.
+    bool take_idle(const std::string& address, Poco::Net::StreamSocket& out)
+    {
+        std::lock_guard lock(mutex_);
+        auto& links = idle_[address];
+        while (!links.empty())
+        {
+            out = links.back();
+            links.pop_back();
+            if (!out.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
+                return true;
+        }
+        return false;
+    }
+};
+
+peer_links::peer_links() : impl_(std::make_unique<impl>())
+{
+}
+
+peer_links::~peer_links() = default;
+
+std::uint64_t peer_links::bytes() const
+{
+    return impl_->bytes_;
+}
+
+result<nlohmann::json> peer_links::exchange(const std::string& address,
+                                            frame_type type,
+                                            nlohmann::json body,
+                                            std::int64_t timeout_ms)
+{
+    bool sent = false;
+    try
+    {
+        Poco::Timespan timeout(std::max<std::int64_t>(timeout_ms, 1) *
+                               us_per_ms);
+        Poco::Net::StreamSocket socket;
+        if (!impl_->take_idle(address, socket))
+        {
+            socket = Poco::Net::StreamSocket();
+            socket.connect(Poco::Net::SocketAddress(address), timeout);
+            socket.setNoDelay(true);
+        }
+        socket.setReceiveTimeout(timeout);
+        socket.setSendTimeout(timeout);
+        peer_frame frame{.type_ = type,
+                         .correlation_ = impl_->next_id_++,
+                         .body_ = std::move(body)};
+        std::string bytes = encode_frame(frame);
+        sent = true;
+        send_all(socket, bytes);
+        auto back = receive_frame(socket);
+        if (!back)
+            return tl::unexpected(back.error());
+        if (back->correlation_ != frame.correlation_)
+            return fail(error_code::lost, "an answer to another question");
+        impl_->bytes_ += bytes.size() + encode_frame(*back).size();
+        std::lock_guard lock(impl_->mutex_);
+        auto& links = impl_->idle_[address];
+        if (links.size() < max_idle_links)
+            links.push_back(socket);
+        return std::move(back->body_);
+    }
+    catch (const std::exception& bad)
+    {
+        return fail(sent ? error_code::lost : error_code::not_sent, bad.what());
+    }
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/transport/view_cell.h
@@ -0,0 +1,58 @@
+#ifndef TANAGERSPAN_TRANSPORT_VIEW_CELL_H
+#define TANAGERSPAN_TRANSPORT_VIEW_CELL_H
+
+// The latest group view of one service: published by the control thread,
+// read by traffic threads, which may wait for the next one. Thread safe.
+
+#include <chrono>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+
+#include "coordination/group_view.h"
+
+namespace tanagerspan
+{
+
+class view_cell
+{
+public:
+    using pointer = std::shared_ptr<const group_view>;
+
+    void publish(group_view view)
+    {
+        auto next = std::make_shared<const group_view>(std::move(view));
+        {
+            std::lock_guard lock(mutex_);
+            view_ = std::move(next);
+        }
+        changed_.notify_all();
+    }
+
+    pointer get() const
+    {
+        std::lock_guard lock(mutex_);
+        return view_;
+    }
+
+    /// The first view other than `known`, or the one held after `wait_ms`.
+    pointer wait_other(const pointer& known, std::int64_t wait_ms) const
+    {
+        std::unique_lock lock(mutex_);
+        changed_.wait_for(lock, std::chrono::milliseconds(wait_ms),
+                          [&]
+                          {
+                              return view_ != known;
+                          });
+        return view_;
+    }
+
+private:
+    mutable std::mutex mutex_;
+    mutable std::condition_variable changed_;
+    pointer view_ = std::make_shared<const group_view>();
+};
+
+} // namespace tanagerspan
+
+#endif
