Promotion: quiet after a claim, and the suspect is not chosen again

Rank 0 claimed again right after its own promotion, because replicas still reported the silence of the old primary; and a primary cut off from its group, but not from the proxies, has the highest position and was chosen again for ever. Ruled out: longer silence_ms (moves the fault, adds to the gap).

--- a/coordination/group_monitor.cc
+++ b/coordination/group_monitor.cc
@@ -11,7 +11,7 @@
 constexpr std::int64_t mark_spacing_ms = 20;
 constexpr std::int64_t failed_probe_pause_ms = 100;
 constexpr std::int64_t tell_again_ms = 200;
-constexpr std::int64_t jitter_ms = 100;
+constexpr std::uint64_t max_jitter_ms = 100;
 
 } // namespace
 
@@ -175,30 +175,30 @@
 
 void group_monitor::consider_promotion(instant now, std::vector<action>& out)
 {
-    // A claim by anyone starts the wait over: two claimants that answer each
-    // other's claims at once would keep the group without a primary.
+    // After a claim by anyone the members need time to find the new primary;
+    // until then their silence speaks of the old one.
     if (std::uint64_t highest = view_.highest_promised();
-        highest != last_promised_seen_)
+        highest > last_promised_seen_)
     {
         last_promised_seen_ = highest;
-        if (suspected_since_ != never)
-            suspected_since_ = now + options_.silence_ms_;
+        quiet_until_ = now + options_.silence_ms_;
     }
     if (silent_members(now) < view_.majority())
     {
         suspected_since_ = never;
         return;
     }
-    if (suspected_since_ == never)
+    if (suspected_since_ == never && now >= quiet_until_)
     {
-        auto jitter = static_cast<std::int64_t>(random_() % jitter_ms);
-        bool first = rank_ == 0;
-        suspected_since_ = now + (first ? 0 : jitter);
+        suspected_since_ = now;
+        jitter_ms_ = static_cast<std::int64_t>(random_() % max_jitter_ms);
         out.emplace_back(note{"suspicion", "a majority hears no primary",
                               last_promised_seen_});
     }
-    auto wait_ms = static_cast<std::int64_t>(rank_) * options_.stagger_ms_;
-    if (promotion_ || now - suspected_since_ < wait_ms)
+    auto rank = static_cast<std::int64_t>(rank_);
+    auto wait_ms = rank * (options_.stagger_ms_ + jitter_ms_);
+    if (promotion_ || now < quiet_until_ || suspected_since_ == never ||
+        now - suspected_since_ < wait_ms)
         return;
     claim(now, std::nullopt, "a majority hears no primary", out);
 }
@@ -208,10 +208,13 @@
 {
     last_claimed_ = std::max(last_claimed_, view_.highest_promised()) + 1;
     last_promised_seen_ = last_claimed_;
+    quiet_until_ = now + options_.silence_ms_;
     promotion_.emplace(
         promotion::options{.members_ = view_.members_.size(),
                            .order_ = {last_claimed_, options_.claimant_},
-                           .preferred_ = preferred},
+                           .preferred_ = preferred,
+                           .suspect_ =
+                               preferred ? std::nullopt : view_.primary()},
         now);
     out.emplace_back(note{"claim", std::move(cause), last_claimed_});
 }
@@ -231,8 +234,8 @@
                                : "a higher claim, or no majority in time",
                           promotion_->order().term_});
     promotion_.reset();
-    auto jitter = static_cast<std::int64_t>(random_() % jitter_ms);
-    suspected_since_ = done ? never : now + jitter;
+    suspected_since_ = never;
+    static_cast<void>(now);
 }
 
 void group_monitor::on_step(promotion::step kind, std::size_t member,
--- a/coordination/group_monitor.h
+++ b/coordination/group_monitor.h
@@ -16,8 +16,8 @@
 // group of three, writes are confirmed and nothing is changed.
 //
 // Of several proxies the one of rank 0 claims first; the others wait their
-// rank times `stagger_ms` plus a seeded jitter, and start over when they see
-// a new claim.
+// rank times `stagger_ms` plus a seeded jitter. After a claim by anyone all
+// are quiet for `silence_ms`, in which the members find the new primary.
 
 #include <cstdint>
 #include <optional>
@@ -146,6 +146,8 @@
     std::uint64_t last_claimed_ = 0;
     std::uint64_t last_promised_seen_ = 0;
     instant suspected_since_ = never;
+    instant quiet_until_ = never;
+    std::int64_t jitter_ms_ = 0;
     bool nudge_wanted_ = false;
     bool changed_ = true;
 };
--- a/coordination/promotion.cc
+++ b/coordination/promotion.cc
@@ -20,6 +20,8 @@
         phase_ = phase::failed;
         return out;
     }
+    if (phase_ == phase::fencing)
+        choose(now);
     if (now - sent_ < options_.resend_ms_)
         return out;
     sent_ = now;
@@ -58,13 +60,6 @@
     if (phase_ != phase::fencing)
         return;
     promises_[member] = status;
-    auto count = std::count_if(promises_.begin(), promises_.end(),
-                               [](const auto& p)
-                               {
-                                   return p.has_value();
-                               });
-    if (static_cast<std::size_t>(count) >= options_.members_ / 2 + 1)
-        choose();
 }
 
 bool promotion::is_ours(const member_status& status) const
@@ -73,8 +68,19 @@
            status.claimant_ == options_.order_.claimant_;
 }
 
-void promotion::choose()
+bool promotion::counts(std::size_t member, instant now) const
 {
+    return promises_[member] && (options_.suspect_ != member ||
+                                 now - started_ >= options_.suspect_grace_ms_);
+}
+
+void promotion::choose(instant now)
+{
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < promises_.size(); ++i)
+        count += counts(i, now) ? 1 : 0;
+    if (count < options_.members_ / 2 + 1)
+        return;
     auto better = [this](std::size_t a, std::size_t b)
     {
         const auto& left = *promises_[a];
@@ -87,7 +93,7 @@
     };
     for (std::size_t i = 0; i < promises_.size(); ++i)
     {
-        if (promises_[i] && (!chosen_ || better(i, *chosen_)))
+        if (counts(i, now) && (!chosen_ || better(i, *chosen_)))
             chosen_ = i;
     }
     phase_ = phase::ordering;
--- a/coordination/promotion.h
+++ b/coordination/promotion.h
@@ -8,7 +8,10 @@
 //   2. fence:  a majority has promised, so the old primary can no longer be
 //              confirmed; the promises carry the members' log positions, read
 //              after the promise;
-//   3. choose: the highest position among the promises;
+//   3. choose: the highest position among the promises. The suspect primary
+//      does not count at first: cut off from its group it has the highest
+//      position and would be chosen for ever. The highest of any majority is
+//      safe; only if the others make none in time is the suspect counted;
 //   4. order:  tell that member, and never another, to lead the term.
 //
 // Invariants: a term is used for at most one attempt of one claimant; within
@@ -36,6 +39,8 @@
         std::size_t members_ = 0;
         term_order order_{};
         std::optional<std::size_t> preferred_{}; ///< taken on equal position
+        std::optional<std::size_t> suspect_{};   ///< the primary that failed
+        std::int64_t suspect_grace_ms_ = 300;
         std::int64_t attempt_ms_ = 1000;
         std::int64_t resend_ms_ = 150;
     };
@@ -84,7 +89,8 @@
 
 private:
     bool is_ours(const member_status& status) const;
-    void choose();
+    bool counts(std::size_t member, instant now) const;
+    void choose(instant now);
 
     options options_;
     phase phase_ = phase::fencing;
--- /dev/null
+++ b/testing/fake_group.h
@@ -0,0 +1,216 @@
+#ifndef TANAGERSPAN_TESTING_FAKE_GROUP_H
+#define TANAGERSPAN_TESTING_FAKE_GROUP_H
+
+// A database group on virtual time: the stand-in's member state behind a
+// network that delays, loses, duplicates and cuts. Nodes are named: members
+// "a", "b", "c", proxies "p0", "p1", ...
+//
+// A `guard` taken out shows that a check bites: each names one rule that the
+// promises rest on.
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "stand_ins/replication_queue.h"
+#include "testing/event_loop.h"
+
+namespace tanagerspan
+{
+
+enum class guard
+{
+    none,
+    majority_before_done,     ///< a primary's word is taken as done
+    fencing_by_term,          ///< members serve lower terms on
+    recorded_request_ids,     ///< a repeat runs again
+    token_covers_read,        ///< the session token is ignored
+    primary_proved_current,   ///< an old primary counts as current
+    unknown_is_no_refusal,    ///< unknown is told as not run
+    no_repeat_without_id,     ///< writes without an id are sent again
+    replicas_confirm_silence, ///< a proxy's own view makes a primary suspect
+    highest_position_leads    ///< any promised member may be chosen
+};
+
+struct network_options
+{
+    double one_way_ms_ = 1.0;
+    double jitter_ms_ = 0.5;
+    double loss_ = 0.0;      ///< of exchanges, after the effect or before
+    double duplicate_ = 0.0; ///< of requests that are idempotent
+};
+
+class fake_group
+{
+public:
+    static constexpr std::size_t members = 3;
+
+    fake_group(event_loop& loop, network_options network, guard removed,
+               std::int64_t lag_ms);
+
+    void start();
+
+    /// One exchange: `work` at the member, then `reply` with what it gave,
+    /// or with not_sent or lost. `wait_ms` holds the request until `holds`.
+    template <class Answer>
+    void exchange(const std::string& from, std::size_t member,
+                  std::int64_t timeout_ms, bool idempotent,
+                  std::function<result<Answer>(member_state&)> work,
+                  std::function<void(result<Answer>)> reply,
+                  std::int64_t wait_ms = 0,
+                  std::function<bool(const member_state&)> holds = {});
+
+    void kill(std::size_t member);
+    void revive(std::size_t member);
+    void freeze(std::size_t member, std::int64_t ms);
+    /// Cuts or mends both directions between two nodes.
+    void set_cut(const std::string& a, const std::string& b, bool cut);
+    bool is_cut(const std::string& a, const std::string& b) const;
+    void set_lag(std::size_t member, std::int64_t lag_ms)
+    {
+        nodes_[member].lag_ms_ = lag_ms;
+    }
+    void set_network(network_options network)
+    {
+        network_ = network;
+    }
+    const network_options& network() const
+    {
+        return network_;
+    }
+
+    static std::string name_of(std::size_t member)
+    {
+        return std::string(1, static_cast<char>('a' + member));
+    }
+    const member_state& state(std::size_t member) const
+    {
+        return nodes_[member].state_;
+    }
+    /// The member leading the highest term, dead or alive.
+    std::optional<std::size_t> primary() const;
+    bool alive(std::size_t member) const
+    {
+        return nodes_[member].alive_;
+    }
+    guard removed() const
+    {
+        return removed_;
+    }
+    /// When each term began to be led; ground truth for the checks.
+    const std::map<std::uint64_t, instant>& led_since() const
+    {
+        return led_since_;
+    }
+    double delay()
+    {
+        return network_.one_way_ms_ + loop_.uniform(0, network_.jitter_ms_);
+    }
+
+private:
+    struct waiter
+    {
+        std::function<bool(const member_state&)> holds_;
+        std::function<void()> go_;
+        std::shared_ptr<bool> done_;
+    };
+    struct node
+    {
+        member_state state_;
+        replication_queue queue_;
+        std::vector<waiter> waiters_;
+        std::int64_t lag_ms_ = 0;
+        bool alive_ = true;
+        instant frozen_until_ = never;
+        std::size_t follows_ = 0;
+    };
+
+    void at_member(std::size_t member, std::function<void(node&)> work);
+    void changed(std::size_t member);
+    void wait_at(std::size_t member, std::int64_t wait_ms,
+                 std::function<bool(const member_state&)> holds,
+                 std::function<void()> go);
+    void pull(std::size_t member);
+    void note_leaders();
+
+    event_loop& loop_;
+    network_options network_;
+    guard removed_;
+    std::vector<node> nodes_;
+    std::set<std::pair<std::string, std::string>> cuts_;
+    std::map<std::uint64_t, instant> led_since_;
+};
+
+template <class Answer>
+void fake_group::exchange(const std::string& from, std::size_t member,
+                          std::int64_t timeout_ms, bool idempotent,
+                          std::function<result<Answer>(member_state&)> work,
+                          std::function<void(result<Answer>)> reply,
+                          std::int64_t wait_ms,
+                          std::function<bool(const member_state&)> holds)
+{
+    auto answered = std::make_shared<bool>(false);
+    auto end = [answered, reply](result<Answer> got)
+    {
+        if (!std::exchange(*answered, true))
+            reply(std::move(got));
+    };
+    std::string to = name_of(member);
+    if (!nodes_[member].alive_)
+    {
+        loop_.after(2 * delay(),
+                    [end]
+                    {
+                        end(fail(error_code::not_sent));
+                    });
+        return;
+    }
+    loop_.after(static_cast<double>(timeout_ms),
+                [end]
+                {
+                    end(fail(error_code::lost));
+                });
+    bool lost = loop_.chance(network_.loss_);
+    bool before = lost && loop_.chance(0.5);
+    int copies = idempotent && loop_.chance(network_.duplicate_) ? 2 : 1;
+    for (int copy = 0; copy < copies && !before; ++copy)
+    {
+        constexpr double late_copy_ms = 700;
+        double travel =
+            delay() + (copy == 0 ? 0 : loop_.uniform(0, late_copy_ms));
+        loop_.after(travel,
+                    [this, from, to, member, work, end, lost, wait_ms, holds]
+                    {
+                        if (is_cut(from, to))
+                            return;
+                        auto serve = [this, from, to, member, work, end, lost]
+                        {
+                            at_member(member,
+                                      [=, this](node& at)
+                                      {
+                                          auto got = work(at.state_);
+                                          note_leaders();
+                                          changed(member);
+                                          if (lost)
+                                              return;
+                                          loop_.after(delay(),
+                                                      [=, this]
+                                                      {
+                                                          if (!is_cut(from, to))
+                                                              end(got);
+                                                      });
+                                      });
+                        };
+                        if (wait_ms > 0)
+                            wait_at(member, wait_ms, holds, serve);
+                        else
+                            serve();
+                    });
+    }
+}
+
+} // namespace tanagerspan
+
+#endif
--- /dev/null
+++ b/testing/fake_proxy.h
@@ -0,0 +1,78 @@
+#ifndef TANAGERSPAN_TESTING_FAKE_PROXY_H
+#define TANAGERSPAN_TESTING_FAKE_PROXY_H
+
+// A proxy on virtual time: the real decisions (group_monitor, write_statement,
+// read_statement) driven over a fake group. It can die, freeze and wake.
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "coordination/group_monitor.h"
+#include "coordination/read_statement.h"
+#include "coordination/write_statement.h"
+#include "testing/fake_group.h"
+
+namespace tanagerspan
+{
+
+class fake_proxy
+{
+public:
+    using reply = std::function<void(const statement_answer&)>;
+
+    fake_proxy(event_loop& loop, fake_group& group, std::string name,
+               std::size_t rank, std::uint64_t seed);
+
+    void start();
+    void kill();
+    void freeze(std::int64_t ms);
+
+    void write(std::vector<operation> operations, std::string request_id,
+               std::int64_t deadline_ms, reply done);
+    void read(std::vector<operation> operations, read_statement::options opts,
+              reply done);
+
+    bool alive() const
+    {
+        return alive_;
+    }
+    const std::string& name() const
+    {
+        return name_;
+    }
+    group_monitor& monitor()
+    {
+        return monitor_;
+    }
+    int claims() const
+    {
+        return claims_;
+    }
+
+private:
+    struct statement;
+
+    // Runs now, or when the proxy wakes; never if it is dead.
+    void here(std::function<void()> work);
+    void tick();
+    void pump_monitor();
+    void act(const group_monitor::action& wanted);
+    void pump(const std::shared_ptr<statement>& one);
+    void send(const std::shared_ptr<statement>& one, const send_attempt& what);
+    group_view seen() const;
+
+    event_loop& loop_;
+    fake_group& group_;
+    std::string name_;
+    group_monitor monitor_;
+    std::list<std::shared_ptr<statement>> waiting_;
+    bool alive_ = true;
+    instant frozen_until_ = never;
+    int claims_ = 0;
+};
+
+} // namespace tanagerspan
+
+#endif
