Reads: an answer grows old while it waits to be confirmed

Ruled out: a wrong check (the age stated in the answer itself was over). Change: the age at release decides for primaries as for replicas; an answer that is too old is read again.

--- a/coordination/read_statement.cc
+++ b/coordination/read_statement.cc
@@ -93,23 +93,36 @@
     auto primary = view.primary();
     if (primary && view.members_[*primary].status_.promised_ > position.term_)
         return verdict::reject;
+    // While it waits to be confirmed an answer grows old; read again then.
+    if (options_.max_age_ms_ > 0 && now - sent_ > options_.max_age_ms_)
+        return verdict::reject;
     if (!is_confirmed(view, position, member_))
         return verdict::wait;
     return fresh_enough(view, now) ? verdict::release : verdict::wait;
 }
 
+std::optional<std::int64_t>
+read_statement::age_of(const group_view& view, instant now) const
+{
+    auto age = age_bound_ms(view, read_->position_, now);
+    instant since = current_since(view, read_->position_.term_);
+    if (at_replica_ || since == never)
+        return age;
+    // A primary's answer shows all that was acknowledged up to when it was
+    // read, if the primary was not replaced before that.
+    std::int64_t by_proof = now - std::min(since, sent_);
+    return std::min(age.value_or(by_proof), by_proof);
+}
+
 bool read_statement::fresh_enough(const group_view& view, instant now) const
 {
     if (options_.max_age_ms_ > 0)
     {
-        auto age = age_bound_ms(view, read_->position_, now);
-        if (age && *age <= options_.max_age_ms_)
-            return true;
+        auto age = age_of(view, now);
+        return age && *age <= options_.max_age_ms_;
     }
-    else if (options_.replica_reads_ && options_.has_token_)
-    {
+    if (options_.replica_reads_ && options_.has_token_)
         return true;
-    }
     return !at_replica_ &&
            current_since(view, read_->position_.term_) >= options_.started_;
 }
@@ -119,12 +132,7 @@
     verdict found = judge(view, now);
     if (found == verdict::release)
     {
-        auto age = age_bound_ms(view, read_->position_, now);
-        instant since = current_since(view, read_->position_.term_);
-        // A primary's answer is as old as the last proof that it led.
-        if (!at_replica_ && since != never)
-            age = std::min(age.value_or(now - since),
-                           now - std::min(since, sent_));
+        auto age = age_of(view, now);
         final_ = statement_answer{.outcome_ = outcome::done,
                                   .position_ = read_->position_,
                                   .results_ = read_->results_,
--- a/coordination/read_statement.h
+++ b/coordination/read_statement.h
@@ -64,6 +64,8 @@
                                             instant now) const;
     statement_action release(const group_view& view, instant now);
     verdict judge(const group_view& view, instant now) const;
+    std::optional<std::int64_t> age_of(const group_view& view,
+                                       instant now) const;
     bool fresh_enough(const group_view& view, instant now) const;
     statement_action finish_failed(failure cause);
     bool replica_allowed() const
