Transport: exchanges end at their timeout

Cause: the process tests cut_primary (write gap 20087 ms, the cut's length) and silent_connections (no end in 60 s). A replica's pull at the cut-off primary never ended: POCO's session applies its time limits only when it connects itself, and ours is given a connected socket. Ruled out: the promotion logic (on virtual time the gap was 931 ms at most); the connection limit (9 of 35 used). Change: the limits are set on the socket before each exchange.

--- a/transport/http_connection.cc
+++ b/transport/http_connection.cc
@@ -74,8 +74,10 @@
         return tl::unexpected(connected.error());
     try
     {
-        session_->setTimeout(span_of(timeout_ms), span_of(timeout_ms),
-                             span_of(timeout_ms));
+        // On the socket itself: the session applies its own time limits only
+        // when it connects, and it never does.
+        session_->socket().setSendTimeout(span_of(timeout_ms));
+        session_->socket().setReceiveTimeout(span_of(timeout_ms));
         Poco::Net::HTTPRequest request(std::string(method), std::string(path),
                                        "HTTP/1.1");
         request.setKeepAlive(true);
--- /dev/null
+++ b/transport/transport_test.cc
@@ -0,0 +1,193 @@
+// Tests of the transport library against sockets on loopback.
+
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+#include "testing/check.h"
+#include "transport/connection_pool.h"
+#include "transport/http_listener.h"
+#include "transport/monotonic_clock.h"
+#include "transport/peer_link.h"
+#include "transport/slot_gate.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+constexpr std::int64_t short_ms = 150;
+
+// Answers with the request's body, on the path /slow after a while.
+http_answer echo(const http_request& request)
+{
+    if (request.path_ == "/slow")
+        std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    return {200, request.body_};
+}
+
+class transport_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(transport_test);
+    CPPUNIT_TEST(an_exchange_ends_at_its_timeout_on_a_used_connection);
+    CPPUNIT_TEST(a_late_answer_is_not_taken_for_the_next_one);
+    CPPUNIT_TEST(a_refused_connection_is_not_sent);
+    CPPUNIT_TEST(a_pool_never_passes_its_limit);
+    CPPUNIT_TEST(every_caller_gets_its_own_answer);
+    CPPUNIT_TEST(peers_exchange_frames_and_time_out);
+    CPPUNIT_TEST(a_gate_bounds_what_runs);
+    CPPUNIT_TEST_SUITE_END();
+
+    http_listener listener_{{.address_ = "127.0.0.1:0", .max_connections_ = 32},
+                            echo};
+    std::string address_;
+
+public:
+    void setUp() override
+    {
+        CPPUNIT_ASSERT(listener_.start().has_value());
+        address_ = "127.0.0.1:" + std::to_string(listener_.port());
+    }
+
+private:
+    void an_exchange_ends_at_its_timeout_on_a_used_connection()
+    {
+        http_connection connection(address_);
+        CPPUNIT_ASSERT(connection.exchange("POST", "/", "one", 5000)->body_ ==
+                       "one");
+        auto before = monotonic_now();
+        auto got = connection.exchange("POST", "/slow", "two", short_ms);
+        CPPUNIT_ASSERT(got.error().code_ == error_code::lost);
+        CPPUNIT_ASSERT(monotonic_now() - before < 500);
+        CPPUNIT_ASSERT(!connection.clean());
+    }
+
+    void a_late_answer_is_not_taken_for_the_next_one()
+    {
+        http_connection connection(address_);
+        CPPUNIT_ASSERT(!connection.exchange("POST", "/slow", "old", short_ms));
+        std::this_thread::sleep_for(std::chrono::milliseconds(700));
+        CPPUNIT_ASSERT(connection.exchange("POST", "/", "new", 5000)->body_ ==
+                       "new");
+    }
+
+    void a_refused_connection_is_not_sent()
+    {
+        http_connection connection("127.0.0.1:1");
+        CPPUNIT_ASSERT(
+            connection.exchange("POST", "/", "", short_ms).error().code_ ==
+            error_code::not_sent);
+        http_connection nowhere("not an address");
+        CPPUNIT_ASSERT(!nowhere.exchange("POST", "/", "", short_ms));
+    }
+
+    void a_pool_never_passes_its_limit()
+    {
+        connection_pool pool({.address_ = address_, .max_ = 2});
+        auto now = monotonic_now();
+        auto a = pool.take(1000, now);
+        auto b = pool.take(1000, now);
+        CPPUNIT_ASSERT(a && b);
+        CPPUNIT_ASSERT(pool.take(1000, now).error().code_ ==
+                       error_code::too_many_connections);
+        // One whose exchange timed out does not come back.
+        CPPUNIT_ASSERT(!(*a)->exchange("POST", "/slow", "", short_ms));
+        pool.give(std::move(*a), now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pool.open());
+        pool.give(std::move(*b), now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pool.open());
+        CPPUNIT_ASSERT(pool.take(1000, now + 60'000).has_value());
+    }
+
+    void every_caller_gets_its_own_answer()
+    {
+        connection_pool pool({.address_ = address_, .max_ = 4});
+        std::atomic<int> wrong{0};
+        std::vector<std::thread> callers;
+        for (int c = 0; c < 8; ++c)
+        {
+            callers.emplace_back(
+                [&, c]
+                {
+                    for (int i = 0; i < 100; ++i)
+                    {
+                        auto now = monotonic_now();
+                        auto connection = pool.take(1000, now);
+                        if (!connection)
+                            continue;
+                        auto text = std::to_string(c * 1000 + i);
+                        auto got =
+                            (*connection)->exchange("POST", "/", text, 2000);
+                        if (got && got->body_ != text)
+                            ++wrong;
+                        pool.give(std::move(*connection), now);
+                    }
+                });
+        }
+        for (auto& caller : callers)
+            caller.join();
+        CPPUNIT_ASSERT_EQUAL(0, wrong.load());
+    }
+
+    void peers_exchange_frames_and_time_out()
+    {
+        peer_listener peers(
+            "127.0.0.1:27411", 8,
+            [](const peer_frame& frame) -> peer_frame
+            {
+                if (frame.body_ == "slow")
+                    std::this_thread::sleep_for(std::chrono::milliseconds(400));
+                return {.type_ = frame_type::forwarded, .body_ = frame.body_};
+            });
+        CPPUNIT_ASSERT(peers.start().has_value());
+        peer_links links;
+        const std::string to = "127.0.0.1:27411";
+        CPPUNIT_ASSERT(*links.exchange(to, frame_type::forward, "a", 1000) ==
+                       "a");
+        auto late = links.exchange(to, frame_type::forward, "slow", short_ms);
+        CPPUNIT_ASSERT(late.error().code_ == error_code::lost);
+        CPPUNIT_ASSERT(*links.exchange(to, frame_type::forward, "b", 1000) ==
+                       "b");
+        CPPUNIT_ASSERT(
+            links.exchange("127.0.0.1:1", frame_type::forward, "c", short_ms)
+                .error()
+                .code_ == error_code::not_sent);
+    }
+
+    void a_gate_bounds_what_runs()
+    {
+        slot_gate gate({.slots_ = 2, .max_waiting_ = 100});
+        std::atomic<int> running{0};
+        std::atomic<int> most{0};
+        std::vector<std::thread> workers;
+        for (int i = 0; i < 12; ++i)
+        {
+            workers.emplace_back(
+                [&]
+                {
+                    if (!gate.enter(5, monotonic_now() + 5000))
+                        return;
+                    int now = ++running;
+                    int seen = most;
+                    while (now > seen && !most.compare_exchange_weak(seen, now))
+                    {
+                    }
+                    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+                    --running;
+                    gate.leave();
+                });
+        }
+        for (auto& worker : workers)
+            worker.join();
+        CPPUNIT_ASSERT(most <= 2);
+        CPPUNIT_ASSERT(gate.enter(5, monotonic_now() + 100).has_value());
+        CPPUNIT_ASSERT(gate.enter(5, monotonic_now() + 100).has_value());
+        CPPUNIT_ASSERT(gate.enter(5, monotonic_now() + 50).error().code_ ==
+                       error_code::deadline_passed);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(transport_test);
+
+} // namespace
+} // namespace tanagerspan
