A leaving primary hands over by itself

Cause: a leaving replica got no new reads, but a leaving primary kept all writes; the new scenario leaving_primary showed leaving_served 1. Ruled out: refusing writes at the leaving primary (adds a gap of its own). Change: the first home starts a planned move to the most current member that stays; the other homes step in after 1500 ms times their rank. One move may take two promotions when the third member is ahead of the target.

--- a/coordination/group_monitor.cc
+++ b/coordination/group_monitor.cc
@@ -32,6 +32,7 @@
     std::vector<action> out;
     send_probes(now, out);
     spread_term(now, out);
+    relieve_leaving(now);
     run_move(now, out);
     consider_promotion(now, out);
     run_promotion(now, out);
@@ -262,6 +263,35 @@
     return {};
 }
 
+// A primary that is leaving hands over by itself, so that it gets no new
+// work. The first home does it; the others only if it did not in time.
+void group_monitor::relieve_leaving(instant now)
+{
+    auto primary = view_.primary();
+    if (!primary || !view_.members_[*primary].status_.leaving_)
+    {
+        leaving_since_ = never;
+        return;
+    }
+    if (leaving_since_ == never)
+        leaving_since_ = now;
+    auto wait_ms = static_cast<std::int64_t>(rank_) * options_.relieve_ms_;
+    if (move_ || now - leaving_since_ < wait_ms)
+        return;
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < view_.members_.size(); ++i)
+    {
+        const auto& member = view_.members_[i];
+        bool fit = i != *primary && !member.status_.leaving_ &&
+                   now - member.answered_ < options_.silence_ms_;
+        if (fit && (!best || view_.members_[*best].status_.position_ <
+                                 member.status_.position_))
+            best = i;
+    }
+    if (best)
+        move_ = planned_move{*best, now + options_.move_hold_ms_};
+}
+
 // A planned move waits for the target to hold all that the primary holds,
 // with the primary taking no writes for a bounded time, then promotes.
 void group_monitor::run_move(instant now, std::vector<action>& out)
--- a/coordination/group_monitor.h
+++ b/coordination/group_monitor.h
@@ -46,6 +46,7 @@
         std::int64_t silence_ms_ = 600;
         std::int64_t stagger_ms_ = 400;
         std::int64_t move_hold_ms_ = 3000;
+        std::int64_t relieve_ms_ = 1500;
     };
 
     /// Ask for status; answer by `on_status` with the same `asked_`.
@@ -131,6 +132,7 @@
     void spread_term(instant now, std::vector<action>& out);
     void consider_promotion(instant now, std::vector<action>& out);
     void run_promotion(instant now, std::vector<action>& out);
+    void relieve_leaving(instant now);
     void run_move(instant now, std::vector<action>& out);
     void claim(instant now, std::optional<std::size_t> preferred,
                std::string cause, std::vector<action>& out);
@@ -147,6 +149,7 @@
     std::uint64_t last_promised_seen_ = 0;
     instant suspected_since_ = never;
     instant quiet_until_ = never;
+    instant leaving_since_ = never;
     std::int64_t jitter_ms_ = 0;
     bool nudge_wanted_ = false;
     bool changed_ = true;
--- a/testing/fake_group.h
+++ b/testing/fake_group.h
@@ -72,6 +72,10 @@
     {
         nodes_[member].lag_ms_ = lag_ms;
     }
+    void set_leaving(std::size_t member)
+    {
+        nodes_[member].state_.set_leaving(true);
+    }
     void set_network(network_options network)
     {
         network_ = network;
--- a/testing/scenario.cc
+++ b/testing/scenario.cc
@@ -15,6 +15,7 @@
 constexpr std::int64_t deadline_ms = 4000;
 constexpr std::int64_t patience_ms = 1500;
 constexpr std::int64_t give_up_ms = 8000;
+constexpr double leaving_bound_ms = 5000;
 
 struct write_record
 {
@@ -437,6 +438,19 @@
     }
     else if (failure == "kill_replica")
         group_.kill(replicas[loop_.pick(replicas.size())]);
+    else if (failure == "leaving_primary")
+    {
+        std::size_t leaving = primary_now();
+        group_.set_leaving(leaving);
+        loop_.after(leaving_bound_ms,
+                    [this, leaving]
+                    {
+                        if (primary_now() == leaving)
+                            loop_.trace("BROKEN: the leaving member leads");
+                        result_.leaving_served_ +=
+                            primary_now() == leaving ? 1 : 0;
+                    });
+    }
     else if (failure == "planned_move")
     {
         // The last proxy may not see the member that the primary moves to.
@@ -542,6 +556,7 @@
             {"false_refusal", false_refusal_},
             {"ack_by_replaced", ack_by_replaced_},
             {"replica_share", replica_share()},
+            {"leaving_served", leaving_served_},
             {"promotions", promotions_},
             {"failover_gap_ms", failover_gap_ms_}};
 }
@@ -560,7 +575,8 @@
         {"lost_answers", "answers are lost and orders come twice"},
         {"slow_network", "messages are late and crossed"},
         {"kill_replica", "a replica dies"},
-        {"planned_move", "an operator moves the primary"}};
+        {"planned_move", "an operator moves the primary"},
+        {"leaving_primary", "the primary is leaving"}};
     return names;
 }
 
--- a/testing/scenario.h
+++ b/testing/scenario.h
@@ -43,6 +43,7 @@
     std::int64_t mixed_ = 0;
     std::int64_t false_refusal_ = 0;
     std::int64_t ack_by_replaced_ = 0;
+    std::int64_t leaving_served_ = 0; ///< new work after five seconds
     std::int64_t reads_ = 0;
     std::int64_t replica_reads_ = 0;
     std::int64_t replica_allowed_ = 0;
--- a/testing/scenario_test.cc
+++ b/testing/scenario_test.cc
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(failover_gap_is_within_its_target);
     CPPUNIT_TEST(one_failure_makes_one_promotion_at_most);
     CPPUNIT_TEST(a_proxys_own_cut_promotes_nobody);
+    CPPUNIT_TEST(a_leaving_primary_hands_over_in_time);
     CPPUNIT_TEST(replicas_answer_their_share);
     CPPUNIT_TEST(each_guard_taken_out_is_noticed);
     CPPUNIT_TEST(the_same_seed_gives_the_same_history);
@@ -160,6 +161,18 @@
         }
     }
 
+    void a_leaving_primary_hands_over_in_time()
+    {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed)
+        {
+            scenario_options opts{.seed_ = seed,
+                                  .failures_ = {"leaving_primary"}};
+            auto got = run_kept(opts);
+            if (got.leaving_served_ > 0 || got.promotions_ > 2)
+                CPPUNIT_FAIL(told(opts, got));
+        }
+    }
+
     void replicas_answer_their_share()
     {
         for (const char* size : {"kowalchuk", "lineas_andinas"})
