--- a/node/proxy_settings.cc
+++ b/node/proxy_settings.cc
@@ -23,8 +23,11 @@
     constexpr std::size_t longest_port = 5;
     constexpr int highest_port = 65535;
     auto length = text.size() - colon - 1;
-    return Poco::Net::IPAddress::tryParse(text.substr(0, colon), ip) &&
-           digits && length >= 1 && length <= longest_port &&
+    std::string number = text.substr(0, colon);
+    if (number.starts_with('[') && number.ends_with(']'))
+        number = number.substr(1, number.size() - 2);
+    return Poco::Net::IPAddress::tryParse(number, ip) && digits &&
+           length >= 1 && length <= longest_port &&
            std::stoi(text.substr(colon + 1)) <= highest_port;
 }
 
--- a/protocol/caller_messages.h
+++ b/protocol/caller_messages.h
@@ -14,7 +14,7 @@
 {
 
 /// The largest body that a caller may send, in bytes.
-constexpr std::size_t max_body_bytes = 1024 * 1024;
+constexpr std::size_t max_body_bytes = 1024UL * 1024;
 
 /// A single statement, or one inside a transaction.
 struct statement_request
--- a/protocol/peer_frame.h
+++ b/protocol/peer_frame.h
@@ -22,7 +22,7 @@
 
 constexpr std::uint64_t peer_version = 1;
 constexpr std::size_t frame_header_bytes = 4;
-constexpr std::size_t max_frame_bytes = 4 * 1024 * 1024;
+constexpr std::size_t max_frame_bytes = 4UL * 1024 * 1024;
 
 enum class frame_type : std::uint8_t
 {
--- a/state/record.h
+++ b/state/record.h
@@ -43,8 +43,8 @@
     std::int64_t min_ = std::numeric_limits<std::int64_t>::min();
     std::int64_t max_ = std::numeric_limits<std::int64_t>::max();
     bool required_ = false;
-    std::string_view unit_ = "";
-    std::string_view help_ = "";
+    std::string_view unit_{};
+    std::string_view help_{};
 };
 
 template <class Owner, class Value>
--- a/testing/fake_group.cc
+++ b/testing/fake_group.cc
@@ -31,7 +31,8 @@
         pull(i);
 }
 
-void fake_group::at_member(std::size_t member, std::function<void(node&)> work)
+void fake_group::at_member(std::size_t member,
+                           const std::function<void(node&)>& work)
 {
     auto& at = nodes_[member];
     if (!at.alive_)
@@ -71,7 +72,7 @@
 
 void fake_group::wait_at(std::size_t member, std::int64_t wait_ms,
                          std::function<bool(const member_state&)> holds,
-                         std::function<void()> go)
+                         const std::function<void()>& go)
 {
     if (holds(nodes_[member].state_))
     {
@@ -113,7 +114,7 @@
         {
             return at.serve_pull(ask, pull_entries);
         },
-        [this, member, ask, again](result<pull_answer> got)
+        [this, member, ask, again](const result<pull_answer>& got)
         {
             auto& me = nodes_[member];
             if (!got || !me.alive_)
--- a/testing/fake_group.h
+++ b/testing/fake_group.h
@@ -60,7 +60,7 @@
                   std::function<result<Answer>(member_state&)> work,
                   std::function<void(result<Answer>)> reply,
                   std::int64_t wait_ms = 0,
-                  std::function<bool(const member_state&)> holds = {});
+                  const std::function<bool(const member_state&)>& holds = {});
 
     void kill(std::size_t member);
     void revive(std::size_t member);
@@ -131,11 +131,11 @@
         std::size_t follows_ = 0;
     };
 
-    void at_member(std::size_t member, std::function<void(node&)> work);
+    void at_member(std::size_t member, const std::function<void(node&)>& work);
     void changed(std::size_t member);
     void wait_at(std::size_t member, std::int64_t wait_ms,
                  std::function<bool(const member_state&)> holds,
-                 std::function<void()> go);
+                 const std::function<void()>& go);
     void pull(std::size_t member);
     void note_leaders();
 
@@ -153,7 +153,7 @@
                           std::function<result<Answer>(member_state&)> work,
                           std::function<void(result<Answer>)> reply,
                           std::int64_t wait_ms,
-                          std::function<bool(const member_state&)> holds)
+                          const std::function<bool(const member_state&)>& holds)
 {
     auto answered = std::make_shared<bool>(false);
     auto end = [answered, reply](result<Answer> got)
--- a/testing/fake_proxy.cc
+++ b/testing/fake_proxy.cc
@@ -55,7 +55,7 @@
     frozen_until_ = loop_.now() + ms;
 }
 
-void fake_proxy::here(std::function<void()> work)
+void fake_proxy::here(const std::function<void()>& work)
 {
     if (!alive_)
         return;
@@ -112,7 +112,7 @@
                     status.primary_silence_ms_ = 100'000;
                 return status;
             },
-            [this, ask = *ask](result<member_status> got)
+            [this, ask = *ask](const result<member_status>& got)
             {
                 here(
                     [this, ask, got]
@@ -158,7 +158,7 @@
                 return leads ? at.lead(message.order_, loop_.now())
                              : at.promise(message.order_, loop_.now());
             },
-            [this, message, asked](result<member_status> got)
+            [this, message, asked](const result<member_status>& got)
             {
                 here(
                     [this, message, asked, got]
@@ -259,10 +259,10 @@
                            .operations_ = one->operations_},
                           loop_.now());
     };
-    auto got_reply = [this, one, what](attempt_result got)
+    auto got_reply = [this, one](const attempt_result& got)
     {
         here(
-            [this, one, what, got]
+            [this, one, got]
             {
                 bool trusting = group_.removed() == guard::majority_before_done;
                 if (got && trusting && !one->reads_)
--- a/testing/fake_proxy.h
+++ b/testing/fake_proxy.h
@@ -55,7 +55,7 @@
     struct statement;
 
     // Runs now, or when the proxy wakes; never if it is dead.
-    void here(std::function<void()> work);
+    void here(const std::function<void()>& work);
     void tick();
     void pump_monitor();
     void act(const group_monitor::action& wanted);
--- a/testing/scenario.cc
+++ b/testing/scenario.cc
@@ -87,7 +87,7 @@
     void next(session& by);
     void write(session& by);
     void attempt_write(session& by, const std::string& key, bool with_id,
-                       instant give_up, std::shared_ptr<bool> ended);
+                       instant give_up, const std::shared_ptr<bool>& ended);
     void read(session& by);
     void bring_about(const std::string& failure);
     void bring_about_more(const std::string& failure);
@@ -167,7 +167,7 @@
 // One attempt through any proxy. A caller that has an id may lose patience
 // and try another proxy while the first attempt is still on its way.
 void run::attempt_write(session& by, const std::string& key, bool with_id,
-                        instant give_up, std::shared_ptr<bool> ended)
+                        instant give_up, const std::shared_ptr<bool>& ended)
 {
     auto settled = std::make_shared<bool>(false);
     auto go_on = [this, &by]
@@ -331,7 +331,7 @@
         go_on();
     };
     loop_.after(group_.delay(),
-                [this, proxy, key, opts, take]() mutable
+                [proxy, key, opts, take]() mutable
                 {
                     proxy->read({{"get", key, ""}}, opts, take);
                 });
--- a/transport/http_connection.cc
+++ b/transport/http_connection.cc
@@ -32,6 +32,8 @@
     if (colon == std::string_view::npos)
         return;
     host_ = address.substr(0, colon);
+    if (host_.starts_with('[') && host_.ends_with(']'))
+        host_ = host_.substr(1, host_.size() - 2);
     auto digits = address.substr(colon + 1);
     std::from_chars(digits.data(), digits.data() + digits.size(), port_);
 }
--- a/transport/http_connection.h
+++ b/transport/http_connection.h
@@ -20,7 +20,7 @@
 #include "protocol/caller_messages.h"
 #include "state/failure.h"
 
-namespace Poco::Net
+namespace Poco::Net // NOLINT: the library's name
 {
 class HTTPClientSession;
 }
--- a/transport/json_log.cc
+++ b/transport/json_log.cc
@@ -64,8 +64,8 @@
         line["level"] = std::string(level_name(level));
         line["process"] = process_name();
         line["event"] = std::string(event);
-        for (auto& [key, value] : fields.items())
-            line[key] = std::move(value);
+        for (const auto& [key, value] : fields.items())
+            line[key] = value;
         return line.dump(-1, ' ', false,
                          nlohmann::json::error_handler_t::replace);
     }();
