--- a/node/control_loop.h
+++ b/node/control_loop.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <span>
 #include <thread>
 
 #include "coordination/membership.h"
@@ -96,7 +97,8 @@
     void reconcile(instant now);
     void place_service(const std::string& service, const std::string& team,
                        const service_settings& settings, std::uint64_t version,
-                       fleet_snapshot& next, instant now);
+                       std::span<const std::string> live, fleet_snapshot& next,
+                       instant now);
     void retire(const std::string& service);
 
     const proxy_settings& settings_;
--- a/state/record.h
+++ b/state/record.h
@@ -260,17 +260,21 @@
         return tl::unexpected(*bad);
     if (known == in.size())
         return out;
-    for (const auto& [key, item] : in.items())
+    for (auto at = in.begin(); at != in.end(); ++at)
     {
+        auto is_it = [&at](const auto& f)
+        {
+            return f.name_ == at.key();
+        };
         bool found = std::apply(
-            [&](const auto&... f)
+            [&is_it](const auto&... f)
             {
-                return ((f.name_ == key) || ...);
+                return (is_it(f) || ...);
             },
             table);
         if (!found)
             return fail(error_code::unknown_key,
-                        path + "." + key + ": no such key");
+                        path + "." + at.key() + ": no such key");
     }
     return out;
 }
