Homes are ranked where a proxy came or went, not everywhere

Ruled out: fewer reconciliations (late settings). Change: home_table keeps the rankings; a newcomer is compared with the homes held, a loss re-ranks only the services it was a home of. A property compares it with ranking anew (it first gave up in its generator, which was mended).

--- a/coordination/capacity_benchmark.cc
+++ b/coordination/capacity_benchmark.cc
@@ -79,6 +79,22 @@
 }
 BENCHMARK(rank_one_service)->Arg(400)->Arg(1600)->Arg(3200)->Arg(6400);
 
+// One proxy comes or goes, as many services as proxies.
+void one_proxy_changes(benchmark::State& state)
+{
+    auto names = proxy_names(state.range(0));
+    auto fewer = names;
+    fewer.erase(fewer.begin() + 7);
+    home_table table;
+    table.set_live(names);
+    for (std::int64_t i = 0; i < state.range(0); ++i)
+        table.homes_of("team/" + std::to_string(i), 2);
+    bool out = false;
+    for (auto _ : state)
+        table.set_live((out = !out) ? fewer : names);
+}
+BENCHMARK(one_proxy_changes)->Arg(400)->Arg(1600)->Arg(3200)->Arg(6400);
+
 // One status answer of a member, taken in, and the next question.
 void status_answer(benchmark::State& state)
 {
--- a/coordination/home_ranking.h
+++ b/coordination/home_ranking.h
@@ -14,6 +14,7 @@
 // share is free as soon as its connections are gone.
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -28,6 +29,35 @@
                                     std::span<const std::string> proxies,
                                     std::size_t homes);
 
+/// The rankings of all services, kept up to date as proxies come and go. A
+/// change of one proxy costs one hash a service and a new ranking only where
+/// that proxy is or becomes a home; ranking all anew would cost services
+/// times proxies. Gives what `rank_homes` gives. One thread at a time.
+class home_table
+{
+public:
+    /// Sets the proxies; `live` is sorted.
+    void set_live(std::span<const std::string> live);
+
+    /// The homes of `service`; valid until the next call.
+    const std::vector<std::string>& homes_of(const std::string& service,
+                                             std::size_t homes);
+
+    /// Forgets services that were not asked for since the last call.
+    void forget_unused();
+
+private:
+    struct entry
+    {
+        std::size_t wanted_ = 0;
+        std::vector<std::string> homes_;
+        bool used_ = false;
+    };
+
+    std::vector<std::string> live_;
+    std::map<std::string, entry> entries_;
+};
+
 /// The part of `limit` that seat `rank` of `homes` has. The parts of all
 /// ranks add up to exactly `limit`.
 std::int64_t seat_share(std::int64_t limit, std::int64_t rank,
--- a/coordination/sharing_test.cc
+++ b/coordination/sharing_test.cc
@@ -20,6 +20,7 @@
     CPPUNIT_TEST_SUITE(sharing_test);
     CPPUNIT_TEST(shares_add_up_to_the_limit);
     CPPUNIT_TEST(a_gone_proxy_moves_only_its_own_services);
+    CPPUNIT_TEST(kept_rankings_are_those_made_anew);
     CPPUNIT_TEST(slots_are_never_exceeded_and_urgent_goes_first);
     CPPUNIT_TEST(a_gate_check_waits_for_one_statement_at_most);
     CPPUNIT_TEST(no_lower_class_starves);
@@ -45,6 +46,7 @@
     void a_gone_proxy_moves_only_its_own_services()
     {
         std::vector<std::string> proxies;
+        proxies.reserve(8);
         for (int i = 0; i < 8; ++i)
             proxies.push_back("proxy-" + std::to_string(i));
         auto fewer = proxies;
@@ -61,6 +63,32 @@
         }
     }
 
+    void kept_rankings_are_those_made_anew()
+    {
+        CHECK_PROPERTY("a home table gives what ranking anew gives",
+                       []
+                       {
+                           home_table table;
+                           for (int round = 0; round < 12; ++round)
+                           {
+                               unsigned drawn = *rc::gen::inRange(0U, 512U);
+                               std::vector<std::string> live;
+                               for (unsigned i = 0; i < 9; ++i)
+                               {
+                                   if ((drawn >> i & 1U) != 0)
+                                       live.push_back("p" + std::to_string(i));
+                               }
+                               table.set_live(live);
+                               for (int s = 0; s < 20; ++s)
+                               {
+                                   auto service = "t/" + std::to_string(s);
+                                   RC_ASSERT(table.homes_of(service, 2) ==
+                                             rank_homes(service, live, 2));
+                               }
+                           }
+                       });
+    }
+
     void slots_are_never_exceeded_and_urgent_goes_first()
     {
         CHECK_PROPERTY("slots hold, order is by priority",
--- a/node/control_loop.cc
+++ b/node/control_loop.cc
@@ -3,12 +3,10 @@
 #include <algorithm>
 #include <chrono>
 #include <future>
-#include <span>
 
 #include <Poco/Timestamp.h>
 #include <xxhash.h>
 
-#include "coordination/home_ranking.h"
 #include "coordination/settings_change.h"
 #include "transport/endpoint_client.h"
 #include "transport/json_log.h"
@@ -286,7 +284,7 @@
 void control_loop::reconcile(instant now)
 {
     fleet_snapshot next;
-    auto live = membership_.live();
+    homes_.set_live(membership_.live());
     next.ready_ = spread_.ready();
     for (const auto& [name, record] : membership_.records())
         next.peer_addresses_[name] = record.address_;
@@ -296,8 +294,9 @@
             continue;
         for (const auto& [name, settings] : branch.plan_.services_)
             place_service(team + "/" + name, team, settings, branch.version_,
-                          live, next, now);
+                          next, now);
     }
+    homes_.forget_unused();
     std::vector<std::string> gone;
     for (const auto& [service, watch] : watches_)
     {
@@ -314,9 +313,8 @@
 void control_loop::place_service(const std::string& service,
                                  const std::string& team,
                                  const service_settings& settings,
-                                 std::uint64_t version,
-                                 std::span<const std::string> live,
-                                 fleet_snapshot& next, instant now)
+                                 std::uint64_t version, fleet_snapshot& next,
+                                 instant now)
 {
     service_route route{.service_ = service,
                         .team_ = team,
@@ -328,7 +326,7 @@
     // A home without a slot would be of no use.
     auto seats =
         static_cast<std::size_t>(std::min(settings.homes_, settings.slots_));
-    route.home_names_ = rank_homes(service, live, seats);
+    route.home_names_ = homes_.homes_of(service, seats);
     for (std::size_t rank = 0; rank < route.home_names_.size(); ++rank)
     {
         const auto& name = route.home_names_[rank];
--- a/node/control_loop.h
+++ b/node/control_loop.h
@@ -15,9 +15,9 @@
 #include <map>
 #include <memory>
 #include <mutex>
-#include <span>
 #include <thread>
 
+#include "coordination/home_ranking.h"
 #include "coordination/membership.h"
 #include "coordination/settings_spread.h"
 #include "node/call_lane.h"
@@ -97,8 +97,7 @@
     void reconcile(instant now);
     void place_service(const std::string& service, const std::string& team,
                        const service_settings& settings, std::uint64_t version,
-                       std::span<const std::string> live, fleet_snapshot& next,
-                       instant now);
+                       fleet_snapshot& next, instant now);
     void retire(const std::string& service);
 
     const proxy_settings& settings_;
@@ -106,6 +105,7 @@
     decision_journal& journal_;
     membership membership_;
     settings_spread spread_;
+    home_table homes_;
     std::map<std::string, std::unique_ptr<group_watch>> watches_;
 
     std::unique_ptr<call_lane> ping_lane_;
