Planned moves: the hold is confirmed, the named target is awaited

Positions were compared before the hold had reached the primary, a new primary was never held, and a majority without the target chose another member of equal position. Ruled out: waiting longer for the target alone (the positions still moved). The test's bound is tightened from 2 promotions to 1.

--- a/coordination/group_monitor.cc
+++ b/coordination/group_monitor.cc
@@ -12,6 +12,7 @@
 constexpr std::int64_t failed_probe_pause_ms = 100;
 constexpr std::int64_t tell_again_ms = 200;
 constexpr std::uint64_t max_jitter_ms = 100;
+constexpr std::int64_t hold_again_ms = 300;
 
 } // namespace
 
@@ -276,7 +277,7 @@
     if (leaving_since_ == never)
         leaving_since_ = now;
     auto wait_ms = static_cast<std::int64_t>(rank_) * options_.relieve_ms_;
-    if (move_ || now - leaving_since_ < wait_ms)
+    if (move_ || now < next_relief_ || now - leaving_since_ < wait_ms)
         return;
     std::optional<std::size_t> best;
     for (std::size_t i = 0; i < view_.members_.size(); ++i)
@@ -292,6 +293,16 @@
         move_ = planned_move{*best, now + options_.move_hold_ms_};
 }
 
+void group_monitor::on_held(std::size_t member, std::uint64_t term, instant now)
+{
+    auto primary = view_.primary();
+    if (!move_ || !primary || *primary != member ||
+        view_.members_[member].status_.promised_ != term)
+        return;
+    move_->held_term_ = term;
+    move_->held_at_ = now;
+}
+
 // A planned move waits for the target to hold all that the primary holds,
 // with the primary taking no writes for a bounded time, then promotes.
 void group_monitor::run_move(instant now, std::vector<action>& out)
@@ -308,23 +319,29 @@
             out.emplace_back(note{arrived ? "move_done" : "move_given_up",
                                   view_.members_[move_->target_].name_,
                                   view_.highest_promised()});
+            // Holds in a row would stop writes for good.
+            next_relief_ = arrived ? now : now + options_.relieve_pause_ms_;
             move_.reset();
         }
         return;
     }
     const auto& lead = view_.members_[*primary].status_;
     const auto& target = view_.members_[move_->target_];
-    if (!move_->held_)
+    // The hold is for one term; with another primary it starts over.
+    if (move_->held_term_ != lead.promised_ &&
+        now - move_->hold_sent_ >= hold_again_ms)
     {
-        move_->held_ = true;
+        move_->hold_sent_ = now;
         out.emplace_back(
             hold{*primary, lead.promised_, options_.move_hold_ms_});
-        nudge();
-        return;
     }
+    if (move_->held_term_ != lead.promised_)
+        return;
     nudge();
-    if (target.status_.position_ == lead.position_ &&
-        now - target.asked_ < options_.probe_wait_ms_)
+    // Only answers to questions asked under the hold show final positions.
+    bool final = target.asked_ > move_->held_at_ &&
+                 view_.members_[*primary].asked_ > move_->held_at_;
+    if (final && target.status_.position_ == lead.position_)
         claim(now, move_->target_, "planned move", out);
 }
 
--- a/coordination/group_monitor.h
+++ b/coordination/group_monitor.h
@@ -47,6 +47,7 @@
         std::int64_t stagger_ms_ = 400;
         std::int64_t move_hold_ms_ = 3000;
         std::int64_t relieve_ms_ = 1500;
+        std::int64_t relieve_pause_ms_ = 10'000;
     };
 
     /// Ask for status; answer by `on_status` with the same `asked_`.
@@ -61,7 +62,8 @@
     {
         promotion::message message_;
     };
-    /// Ask the primary to take no writes for a planned move.
+    /// Ask the primary to take no writes for a planned move; its answer by
+    /// `on_held`.
     struct hold
     {
         std::size_t member_;
@@ -89,6 +91,9 @@
     void on_step(promotion::step kind, std::size_t member, instant asked,
                  const std::optional<member_status>& status, instant now);
 
+    /// The primary of `term` answered that it takes no writes for now.
+    void on_held(std::size_t member, std::uint64_t term, instant now);
+
     /// Asks every member for status at once (a read waits for freshness).
     void nudge();
 
@@ -121,7 +126,9 @@
     {
         std::size_t target_;
         instant until_;
-        bool held_ = false;
+        std::uint64_t held_term_ = 0;
+        instant held_at_ = never;
+        instant hold_sent_ = never;
     };
 
     void accept(std::size_t member, instant asked, const member_status& status,
@@ -150,6 +157,7 @@
     instant suspected_since_ = never;
     instant quiet_until_ = never;
     instant leaving_since_ = never;
+    instant next_relief_ = never;
     std::int64_t jitter_ms_ = 0;
     bool nudge_wanted_ = false;
     bool changed_ = true;
--- a/coordination/promotion.cc
+++ b/coordination/promotion.cc
@@ -81,6 +81,10 @@
         count += counts(i, now) ? 1 : 0;
     if (count < options_.members_ / 2 + 1)
         return;
+    // The member that the operator named is worth a short wait.
+    bool awaited = options_.preferred_ && !promises_[*options_.preferred_];
+    if (awaited && now - started_ < options_.suspect_grace_ms_)
+        return;
     auto better = [this](std::size_t a, std::size_t b)
     {
         const auto& left = *promises_[a];
--- a/node/group_watch.cc
+++ b/node/group_watch.cc
@@ -176,14 +176,23 @@
 void group_watch::hold(const group_monitor::hold& wanted)
 {
     auto& lanes = *lanes_[wanted.member_];
+    std::weak_ptr<bool> alive = alive_;
     lanes.orders_.post(
-        [wanted, &connection = lanes.order_connection_]
+        [this, wanted, &connection = lanes.order_connection_, alive,
+         post = post_]
         {
             status_request body{.known_ = {},
                                 .known_promised_ = wanted.term_,
                                 .wait_ms_ = wanted.hold_ms_};
-            static_cast<void>(call_endpoint<member_status>(
-                connection, "/v1/hold", body, order_timeout_ms));
+            auto got = call_endpoint<member_status>(connection, "/v1/hold",
+                                                    body, order_timeout_ms);
+            bool held = got && got->leading_ && got->promised_ == wanted.term_;
+            post(
+                [this, wanted, held, alive](instant now)
+                {
+                    if (alive.lock() && held)
+                        monitor_.on_held(wanted.member_, wanted.term_, now);
+                });
         });
 }
 
--- a/testing/fake_proxy.cc
+++ b/testing/fake_proxy.cc
@@ -182,7 +182,17 @@
             {
                 return at.hold(p.term_, p.hold_ms_, loop_.now());
             },
-            [](const result<member_status>&) {});
+            [this, p = *pause](const result<member_status>& got)
+            {
+                here(
+                    [this, p,
+                     held = got && got->leading_ && got->promised_ == p.term_]
+                    {
+                        if (held)
+                            monitor_.on_held(p.member_, p.term_, loop_.now());
+                        pump_monitor();
+                    });
+            });
     }
     else if (const auto* note = std::get_if<group_monitor::note>(&wanted))
     {
--- a/testing/scenario.cc
+++ b/testing/scenario.cc
@@ -360,6 +360,7 @@
         auto others = replicas_now();
         std::size_t with = loop_.pick(proxies_.size() + 1);
         std::vector<std::string> away;
+        away.reserve(others.size() + proxies_.size());
         for (auto i : others)
             away.push_back(fake_group::name_of(i));
         for (std::size_t i = 0; i < proxies_.size(); ++i)
--- a/testing/scenario_test.cc
+++ b/testing/scenario_test.cc
@@ -168,7 +168,7 @@
             scenario_options opts{.seed_ = seed,
                                   .failures_ = {"leaving_primary"}};
             auto got = run_kept(opts);
-            if (got.leaving_served_ > 0 || got.promotions_ > 2)
+            if (got.leaving_served_ > 0 || got.promotions_ > 1)
                 CPPUNIT_FAIL(told(opts, got));
         }
     }
--- a/transport/transport_test.cc
+++ b/transport/transport_test.cc
@@ -104,6 +104,7 @@
         connection_pool pool({.address_ = address_, .max_ = 4});
         std::atomic<int> wrong{0};
         std::vector<std::thread> callers;
+        callers.reserve(8);
         for (int c = 0; c < 8; ++c)
         {
             callers.emplace_back(
@@ -160,6 +161,7 @@
         std::atomic<int> running{0};
         std::atomic<int> most{0};
         std::vector<std::thread> workers;
+        workers.reserve(12);
         for (int i = 0; i < 12; ++i)
         {
             workers.emplace_back(
