--- /dev/null
+++ b/coordination/attempt_policy.h
@@ -0,0 +1,68 @@
+#ifndef TANAGERSPAN_COORDINATION_ATTEMPT_POLICY_H
+#define TANAGERSPAN_COORDINATION_ATTEMPT_POLICY_H
+
+// What to do when an attempt to run a caller's statement did not succeed.
+//
+// Two promises decide. A statement that may have run and must not run twice
+// is never sent again: its caller is told that the outcome is in doubt. And a
+// caller is told that nothing is kept only where that is certain: no byte of
+// a lone write or a commit went out, or the endpoint itself said that it did
+// not run. Before its commit a transaction keeps nothing, whatever became of
+// its statements, as long as its connection is rolled back or closed.
+//
+// Pure; every combination is enumerated by the tests.
+
+#include <optional>
+
+#include "protocol/session_messages.h"
+
+namespace tanagerspan
+{
+
+/// What was under way when the attempt failed.
+enum class attempt_step
+{
+    connect,          ///< no byte of the statement went out
+    begin,            ///< the proxy's begin, nothing of the caller ran
+    lone_read,        ///< outside a transaction of the caller
+    lone_write,       ///< the same, kept at once
+    first_inside,     ///< first statement after the begin, nothing ran before
+    later_inside,     ///< a later one, before the commit
+    commit_read_only, ///< the commit of a transaction that wrote nothing
+    commit
+};
+
+/// How the attempt failed: the endpoint's error, or no answer at all.
+enum class attempt_failure
+{
+    refused, ///< the endpoint says that it did not run
+    ran,     ///< the endpoint says that it ran and failed
+    lost,    ///< the connection ended before the answer
+    expired  ///< the statement's time is over
+};
+
+enum class attempt_verdict
+{
+    retry,   ///< another attempt, which must not be the second run of a write
+    deliver, ///< the endpoint's own error goes to the caller
+    refuse   ///< an error of the proxy's, see `attempt_ruling`
+};
+
+struct attempt_ruling
+{
+    attempt_verdict verdict_ = attempt_verdict::refuse;
+    reply_error error_ = reply_error::busy; ///< for `refuse`
+    /// The connection can't be trusted any more and is to be closed.
+    bool close_ = false;
+    /// The caller's transaction, if any, is over and rolled back.
+    bool roll_back_ = false;
+};
+
+attempt_failure failure_of(reply_error code);
+
+/// `may_retry`: attempts and time are left.
+attempt_ruling judge(attempt_step step, attempt_failure how, bool may_retry);
+
+} // namespace tanagerspan
+
+#endif
--- /dev/null
+++ b/coordination/freshness_marks.cc
@@ -0,0 +1,46 @@
+#include "coordination/freshness_marks.h"
+
+#include <algorithm>
+
+namespace tanagerspan
+{
+
+void freshness_marks::add(instant asked, log_position at)
+{
+    while (!marks_.empty() && asked - marks_.front().asked_ > options_.keep_ms_)
+        marks_.pop_front();
+    // Answers may cross: one that was asked earlier than the newest adds
+    // nothing that the next one does not bring.
+    if (!marks_.empty() && asked <= marks_.back().asked_)
+        return;
+    std::size_t count = marks_.size();
+    bool crowded =
+        count >= 2 && asked - marks_[count - 2].asked_ < options_.min_gap_ms_;
+    // The newest mark is replaced, never the one before it: the newest always
+    // stays as new as it can be.
+    if (crowded)
+        marks_.back() = {asked, at};
+    else
+        marks_.push_back({asked, at});
+}
+
+std::optional<freshness_mark> freshness_marks::covering(instant since) const
+{
+    auto first = std::lower_bound(marks_.begin(), marks_.end(), since,
+                                  [](const freshness_mark& one, instant at)
+                                  {
+                                      return one.asked_ < at;
+                                  });
+    if (first == marks_.end())
+        return std::nullopt;
+    return *first;
+}
+
+std::optional<instant> freshness_marks::newest() const
+{
+    if (marks_.empty())
+        return std::nullopt;
+    return marks_.back().asked_;
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/coordination/session_replay.cc
@@ -0,0 +1,73 @@
+#include "coordination/session_replay.h"
+
+#include <algorithm>
+
+namespace tanagerspan
+{
+namespace
+{
+
+// Bounds what one connection holds at an endpoint; beyond it everything is
+// cleared and prepared anew as it is used.
+constexpr std::size_t max_prepared = 256;
+
+bool must_clear(const session_values& session, const connection_values& have)
+{
+    return std::any_of(have.values_.begin(), have.values_.end(),
+                       [&](const auto& value)
+                       {
+                           return !session.values_.contains(value.first);
+                       });
+}
+
+} // namespace
+
+std::vector<statement> replay_for(const session_values& session,
+                                  const prepared_shape* shape,
+                                  connection_values& have)
+{
+    std::vector<statement> out;
+    bool full = shape != nullptr && have.prepared_.size() >= max_prepared &&
+                !have.prepared_.contains(*shape);
+    if (full || must_clear(session, have))
+    {
+        out.push_back({.kind_ = statement_kind::discard});
+        have = {};
+    }
+    for (const auto& [name, value] : session.values_)
+    {
+        auto at = have.values_.find(name);
+        if (at != have.values_.end() && at->second == value)
+            continue;
+        out.push_back({.kind_ = statement_kind::set_value,
+                       .name_ = name,
+                       .arguments_ = value});
+        have.values_[name] = value;
+    }
+    if (shape != nullptr && !have.prepared_.contains(*shape))
+    {
+        std::string name = "p" + std::to_string(have.prepared_.size());
+        out.push_back({.kind_ = statement_kind::prepare,
+                       .name_ = name,
+                       .arguments_ = shape->shape_,
+                       .writes_ = shape->writes_});
+        have.prepared_[*shape] = name;
+    }
+    return out;
+}
+
+std::size_t replay_cost(const session_values& session,
+                        const connection_values& have)
+{
+    std::size_t differing = 0;
+    for (const auto& [name, value] : session.values_)
+    {
+        auto at = have.values_.find(name);
+        differing += at == have.values_.end() || at->second != value ? 1 : 0;
+    }
+    // Clearing loses the prepared statements, too.
+    constexpr std::size_t clearing = 8;
+    return differing + (must_clear(session, have) ? clearing : 0);
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/daemons/tanager_edge_main.cc
@@ -0,0 +1,262 @@
+// The proxy on the users' platform: settings, threads and signals; the rest is
+// in node/ and platform/. One thread holds control state, one the traffic.
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <thread>
+
+#include <utility>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <cxxopts.hpp>
+
+#include "node/fleet_control.h"
+#include "node/traffic_front.h"
+#include "platform/documents.h"
+#include "platform/line_codec.h"
+#include "platform/store_client.h"
+#include "transport/http_responder.h"
+#include "transport/json_log.h"
+
+namespace
+{
+
+using namespace tanagerspan; // NOLINT: a program's main file
+
+constexpr int exit_ok = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_usage = 2;
+
+constexpr const char* settings_variable = "TANAGERSPAN_BOOT";
+
+// Of the time between SIGTERM and SIGKILL, the part in which open sessions
+// may end; the rest is for the process's own end.
+constexpr double drain_part_of_grace = 0.9;
+
+// One event loop is run by one thread only.
+constexpr int one_thread = 1;
+
+struct process
+{
+    explicit process(platform::process_settings given)
+        : settings_(std::move(given)),
+          store_(control_, *parse_endpoint(settings_.store_address_)),
+          front_(traffic_, {.codec_ = &codec_,
+                            .host_name_ = settings_.host_name_,
+                            .data_centre_ = settings_.data_centre_,
+                            .callers_address_ = settings_.callers_address_}),
+          probes_(traffic_,
+                  [this](std::string_view, std::string_view target)
+                  {
+                      return answer_probe(target);
+                  }),
+          fleet_(control_, store_, control_options(), control_outputs())
+    {
+    }
+
+    fleet_control::options control_options() const
+    {
+        return {.host_name_ = settings_.host_name_,
+                .data_centre_ = settings_.data_centre_,
+                .format_ = {.settings_table_ = "op",
+                            .settings_key_ = "config",
+                            .endpoints_table_ = "servers",
+                            .routes_ = platform::parse_route_table,
+                            .endpoint_ = platform::parse_endpoint_entry}};
+    }
+
+    fleet_control::outputs control_outputs()
+    {
+        return {.routes_ =
+                    [this](route_table_ptr routes)
+                {
+                    boost::asio::post(traffic_,
+                                      [this, routes]
+                                      {
+                                          front_.set_routes(routes);
+                                      });
+                },
+                .endpoints_ =
+                    [this](endpoint_list_ptr endpoints, std::size_t proxies)
+                {
+                    boost::asio::post(traffic_,
+                                      [this, endpoints, proxies]
+                                      {
+                                          front_.set_endpoints(endpoints,
+                                                               proxies);
+                                      });
+                },
+                .promoted_ =
+                    [this](const std::string& service,
+                           const std::string& endpoint, std::int64_t version)
+                {
+                    boost::asio::post(
+                        traffic_,
+                        [this, service, endpoint, version]
+                        {
+                            front_.set_promotion(service, {endpoint, version});
+                        });
+                }};
+    }
+
+    http_reply answer_probe(std::string_view target)
+    {
+        if (target == "/ready")
+        {
+            bool ready = !draining_ && front_.has_routes();
+            return {ready ? 200 : 503, ready ? "ready\n" : "not ready\n"};
+        }
+        if (target == "/metrics")
+            return {200, front_.metrics()};
+        return {404, "not found\n"};
+    }
+
+    void begin_drain()
+    {
+        if (std::exchange(draining_, true))
+            return;
+        log_line(log_level::info, "stopping", {});
+        boost::asio::post(control_,
+                          [this]
+                          {
+                              fleet_.leave([] {});
+                          });
+        auto limit = static_cast<std::int64_t>(
+            static_cast<double>(settings_.grace_ms_) * drain_part_of_grace);
+        front_.drain(limit,
+                     []
+                     {
+                         // Nothing is kept that a clean end would save.
+                         std::_Exit(exit_ok);
+                     });
+    }
+
+    int run()
+    {
+        for (auto started :
+             {front_.start(), probes_.start(settings_.readiness_address_)})
+        {
+            if (!started)
+            {
+                log_line(log_level::error, "cannot_start",
+                         {{"detail", started.error().detail_}});
+                return exit_failed;
+            }
+        }
+        log_line(log_level::info, "started",
+                 {{"data_centre", settings_.data_centre_},
+                  {"version", TANAGERSPAN_VERSION}});
+        boost::asio::signal_set signals(traffic_, SIGTERM, SIGINT);
+        signals.async_wait(
+            [this](io_error cancelled, int)
+            {
+                if (!cancelled)
+                    begin_drain();
+            });
+        boost::asio::post(control_,
+                          [this]
+                          {
+                              fleet_.start();
+                          });
+        std::thread control(
+            [this]
+            {
+                auto guard = boost::asio::make_work_guard(control_);
+                control_.run();
+            });
+        traffic_.run();
+        control.join();
+        return exit_ok;
+    }
+
+    platform::process_settings settings_;
+    platform::line_codec codec_;
+    boost::asio::io_context control_{one_thread};
+    boost::asio::io_context traffic_{one_thread};
+    platform::store_client store_;
+    traffic_front front_;
+    http_responder probes_;
+    fleet_control fleet_;
+    bool draining_ = false;
+};
+
+int usage(const failure& why)
+{
+    std::cerr << name_of(why.code_) << ": " << why.detail_ << "\n";
+    return exit_usage;
+}
+
+int start(const std::string& path, bool only_check)
+{
+    auto settings = platform::load_process_settings(path);
+    if (!settings)
+        return usage(settings.error());
+    for (const std::string& address :
+         {settings->store_address_, settings->promotion_address_,
+          settings->callers_address_, settings->readiness_address_})
+    {
+        if (auto parsed = parse_endpoint(address); !parsed)
+            return usage(parsed.error());
+    }
+    if (only_check)
+    {
+        std::cout << "settings are good\n";
+        return exit_ok;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    // The file is read at the start only: the platform's addresses and bounds
+    // hold for the life of a process.
+    std::signal(SIGHUP, SIG_IGN);
+    start_json_log(settings->host_name_, log_level::info, std::cout);
+    process edge(std::move(*settings));
+    return edge.run();
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("tanager_edge",
+                             "A proxy of the tanagerspan fleet, as it runs on "
+                             "the users' platform.");
+    options.add_options()("settings",
+                          "settings file; without it, the file that " +
+                              std::string(settings_variable) + " names",
+                          cxxopts::value<std::string>())(
+        "check", "check the settings and exit")("version", "print the version")(
+        "help", "print this help");
+    try
+    {
+        auto given = options.parse(argc, argv);
+        if (given.count("help") > 0)
+        {
+            std::cout << options.help()
+                      << "\nExit: 0 done, 1 cannot start, 2 bad usage or "
+                         "settings.\n";
+            return exit_ok;
+        }
+        if (given.count("version") > 0)
+        {
+            std::cout << "tanager_edge " TANAGERSPAN_VERSION "\n";
+            return exit_ok;
+        }
+        const char* named = std::getenv(settings_variable);
+        std::string path = given.count("settings") > 0
+                               ? given["settings"].as<std::string>()
+                               : std::string(named == nullptr ? "" : named);
+        if (path.empty())
+        {
+            std::cerr << "--settings FILE is required; see --help\n";
+            return exit_usage;
+        }
+        return start(path, given.count("check") > 0);
+    }
+    catch (const cxxopts::exceptions::exception& bad)
+    {
+        std::cerr << bad.what() << "\n";
+        return exit_usage;
+    }
+}
--- /dev/null
+++ b/node/endpoint_group.cc
@@ -0,0 +1,518 @@
+#include "node/endpoint_group.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "transport/json_log.h"
+#include "transport/monotonic_clock.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+// The mean of answer times follows a change within about this many answers.
+constexpr double answer_weight = 0.15;
+
+// Beyond its share a proxy may hold this many times as much while it has work
+// for it and the endpoint has room; the surplus is closed when idle.
+constexpr std::size_t surplus_factor = 2;
+
+// A belief that a replica lags fades by half in about a second of ticks, and
+// never below the least lag that is worth a question.
+constexpr double lag_fading = 0.97;
+constexpr double least_lag_ms = 20;
+constexpr double most_lag_ms = 4000;
+
+} // namespace
+
+endpoint_group::endpoint_group(boost::asio::io_context& loop, options opts)
+    : loop_(loop), options_(std::move(opts))
+{
+}
+
+endpoint_group::~endpoint_group()
+{
+    *alive_ = false;
+}
+
+void endpoint_group::set_endpoints(const endpoint_list& endpoints,
+                                   std::size_t share, instant now)
+{
+    share_ = std::max<std::size_t>(share, 1);
+    for (auto& at : endpoints_)
+        at->listed_ = false;
+    for (const auto& entry : endpoints)
+    {
+        auto same =
+            std::find_if(endpoints_.begin(), endpoints_.end(),
+                         [&](const auto& at)
+                         {
+                             return at->entry_.id_ == entry.id_ &&
+                                    at->entry_.address_ == entry.address_ &&
+                                    at->entry_.born_ms_ == entry.born_ms_;
+                         });
+        if (same == endpoints_.end())
+        {
+            endpoints_.push_back(std::make_unique<endpoint_state>());
+            same = std::prev(endpoints_.end());
+        }
+        else if ((*same)->entry_.primary_ != entry.primary_)
+            (*same)->not_primary_until_ = never;
+        (*same)->entry_ = entry;
+        (*same)->listed_ = true;
+    }
+    for (auto& at : endpoints_)
+    {
+        if (!at->listed_)
+        {
+            for (auto& link : std::exchange(at->idle_, {}))
+                link->close({error_code::leaving, "no longer listed"});
+        }
+    }
+    std::erase_if(endpoints_,
+                  [](const auto& at)
+                  {
+                      return !at->listed_ && at->links_ == 0 &&
+                             at->opening_ == 0;
+                  });
+    tick(now);
+    schedule_dispatch();
+}
+
+void endpoint_group::set_promotion(promotion_record record)
+{
+    if (record.row_version_ <= promoted_.row_version_)
+        return;
+    promoted_ = std::move(record);
+    for (auto& at : endpoints_)
+    {
+        if (at->entry_.id_ == promoted_.endpoint_id_)
+            at->not_primary_until_ = never;
+    }
+    schedule_dispatch();
+}
+
+std::optional<std::size_t> endpoint_group::primary_index(instant now) const
+{
+    std::optional<std::size_t> best;
+    std::int64_t best_version = -1;
+    std::optional<std::size_t> untried;
+    for (std::size_t i = 0; i < endpoints_.size(); ++i)
+    {
+        const endpoint_state& at = *endpoints_[i];
+        if (!at.listed_ || at.not_primary_until_ > now)
+            continue;
+        std::int64_t version = at.entry_.primary_ ? at.entry_.row_version_ : -1;
+        if (at.entry_.id_ == promoted_.endpoint_id_)
+            version = std::max(version, promoted_.row_version_);
+        if (version > best_version)
+        {
+            best = i;
+            best_version = version;
+        }
+        if (!untried)
+            untried = i;
+    }
+    return best ? best : untried;
+}
+
+std::vector<endpoint_load> endpoint_group::loads(bool idle_only,
+                                                 instant now) const
+{
+    auto primary = primary_index(now);
+    std::vector<endpoint_load> out;
+    out.reserve(endpoints_.size());
+    for (std::size_t i = 0; i < endpoints_.size(); ++i)
+    {
+        const endpoint_state& at = *endpoints_[i];
+        out.push_back(
+            {.primary_ = primary == i,
+             .leaving_ = at.entry_.leaving_,
+             .same_data_centre_ =
+                 at.entry_.data_centre_ == options_.data_centre_,
+             .has_room_ = at.listed_ &&
+                          (idle_only ? !at.idle_.empty() : may_open(at, now)),
+             .running_ = at.running_,
+             .slots_ = at.entry_.slots_,
+             .answer_ms_ = at.answer_ms_,
+             .avoided_until_ = at.avoided_until_,
+             .lag_ms_ = at.lag_ms_,
+             .known_ = at.known_});
+    }
+    return out;
+}
+
+std::optional<std::size_t> endpoint_group::choose(const link_request& wanted,
+                                                  bool idle_only,
+                                                  instant now) const
+{
+    auto candidates = loads(idle_only, now);
+    if (wanted.primary_)
+        return choose_primary(candidates);
+    std::vector<std::size_t> excluded;
+    for (std::size_t i = 0; i < endpoints_.size(); ++i)
+    {
+        const auto& ids = wanted.excluded_;
+        if (std::find(ids.begin(), ids.end(), endpoints_[i]->entry_.id_) !=
+            ids.end())
+            excluded.push_back(i);
+    }
+    auto best = choose_for_read(candidates, wanted.need_, excluded, now);
+    // After all have been tried any of them may serve.
+    if (!best && !excluded.empty() && excluded.size() == endpoints_.size())
+        best = choose_for_read(candidates, wanted.need_, {}, now);
+    return best;
+}
+
+bool endpoint_group::may_open(const endpoint_state& at, instant now) const
+{
+    std::size_t most = share_ * surplus_factor;
+    return at.listed_ && at.full_until_ <= now &&
+           at.links_ + at.opening_ < most;
+}
+
+endpoint_group::endpoint_state*
+endpoint_group::state_of(const endpoint_link& link)
+{
+    for (auto& at : endpoints_)
+    {
+        if (at->entry_.id_ == link.endpoint().id_ &&
+            at->entry_.born_ms_ == link.endpoint().born_ms_ &&
+            at->entry_.address_ == link.endpoint().address_)
+            return at.get();
+    }
+    return nullptr;
+}
+
+void endpoint_group::open_link(endpoint_state& at, instant)
+{
+    ++at.opening_;
+    auto link =
+        std::make_shared<endpoint_link>(loop_, options_.link_, at.entry_);
+    link->idle_since_ = monotonic_now();
+    // Not before `open` returns; a late set-up is ended by its own limit.
+    limited_.push_back({link, monotonic_now() + options_.open_ms_});
+    link->open(
+        [this, link, alive = std::weak_ptr<bool>(alive_)](result<reply> first)
+        {
+            if (!alive.expired())
+                on_opened(link, first);
+        });
+}
+
+void endpoint_group::on_opened(const link_ptr& link, const result<reply>& first)
+{
+    instant now = monotonic_now();
+    endpoint_state* at = state_of(*link);
+    if (at == nullptr)
+        return link->close({error_code::leaving, "no longer listed"});
+    --at->opening_;
+    if (first && !first->error_)
+    {
+        ++at->links_;
+        at->unreachable_ = false;
+        at->last_answer_ = now;
+        link->on_reply_ = [this, raw = link.get()](const reply& got)
+        {
+            if (endpoint_state* state = state_of(*raw))
+            {
+                state->last_answer_ = monotonic_now();
+                state->unanswered_since_ = never;
+                if (got.position_)
+                    state->known_ = std::max(state->known_, *got.position_);
+            }
+        };
+        link->on_close_ = [this, raw = link.get()]
+        {
+            if (endpoint_state* state = state_of(*raw))
+            {
+                --state->links_;
+                std::erase_if(state->idle_,
+                              [raw](const link_ptr& one)
+                              {
+                                  return one.get() == raw;
+                              });
+            }
+        };
+        at->idle_.push_back(link);
+        return schedule_dispatch();
+    }
+    bool full = first && (first->error_ == reply_error::too_many_connections ||
+                          first->error_ == reply_error::busy);
+    at->full_until_ = now + options_.full_ms_;
+    if (!full)
+    {
+        at->avoided_until_ = now + options_.avoid_ms_;
+        at->unreachable_ = true;
+    }
+    log_line(log_level::info, "endpoint_connection_refused",
+             {{"service", at->entry_.service_},
+              {"endpoint", at->entry_.id_},
+              {"reason", first ? std::string(name_of(*first->error_))
+                               : first.error().detail_}});
+    link->close({error_code::not_sent, "not opened"});
+    schedule_dispatch();
+}
+
+link_ptr endpoint_group::take_idle(endpoint_state& at,
+                                   const session_values* session)
+{
+    auto best = std::prev(at.idle_.end());
+    if (session != nullptr)
+    {
+        best =
+            std::min_element(at.idle_.begin(), at.idle_.end(),
+                             [&](const link_ptr& one, const link_ptr& other)
+                             {
+                                 return replay_cost(*session, one->values_) <
+                                        replay_cost(*session, other->values_);
+                             });
+    }
+    link_ptr link = *best;
+    at.idle_.erase(best);
+    return link;
+}
+
+endpoint_group::ticket
+endpoint_group::request(link_request wanted, grant_handler granted, instant now)
+{
+    auto behind =
+        std::find_if(waiting_.begin(), waiting_.end(),
+                     [&](const waiting_work& one)
+                     {
+                         return one.wanted_.priority_ > wanted.priority_;
+                     });
+    ticket which = next_ticket_++;
+    waiting_.insert(behind,
+                    {which, std::move(wanted), std::move(granted), now});
+    schedule_dispatch();
+    return which;
+}
+
+void endpoint_group::withdraw(ticket which)
+{
+    std::erase_if(waiting_,
+                  [&](const waiting_work& one)
+                  {
+                      return one.ticket_ == which;
+                  });
+}
+
+void endpoint_group::schedule_dispatch()
+{
+    if (std::exchange(dispatch_scheduled_, true))
+        return;
+    boost::asio::post(loop_,
+                      [this, alive = std::weak_ptr<bool>(alive_)]
+                      {
+                          if (!alive.expired())
+                              dispatch();
+                      });
+}
+
+void endpoint_group::dispatch()
+{
+    dispatch_scheduled_ = false;
+    instant now = monotonic_now();
+    std::map<std::size_t, std::size_t> wanted_openings;
+    std::vector<std::pair<grant_handler, link_ptr>> grants;
+    for (auto work = waiting_.begin(); work != waiting_.end();)
+    {
+        auto idle = choose(work->wanted_, true, now);
+        if (idle)
+        {
+            endpoint_state& at = *endpoints_[*idle];
+            grants.emplace_back(std::move(work->granted_),
+                                take_idle(at, work->wanted_.session_));
+            ++at.running_;
+            work = waiting_.erase(work);
+            continue;
+        }
+        if (auto open = choose(work->wanted_, false, now))
+            ++wanted_openings[*open];
+        ++work;
+    }
+    for (auto [index, count] : wanted_openings)
+    {
+        endpoint_state& at = *endpoints_[index];
+        while (at.opening_ < count && may_open(at, now))
+            open_link(at, now);
+    }
+    for (auto& [granted, link] : grants)
+        granted(link);
+}
+
+void endpoint_group::give_back(const link_ptr& link, bool usable, instant now)
+{
+    endpoint_state* at = state_of(*link);
+    if (at != nullptr)
+        --at->running_;
+    if (!link->is_open())
+        return;
+    if (!usable || at == nullptr || !at->listed_)
+        return link->close({error_code::lost, "not kept"});
+    link->idle_since_ = now;
+    at->idle_.push_back(link);
+    if (!waiting_.empty())
+        schedule_dispatch();
+}
+
+void endpoint_group::abandon(const link_ptr& link, instant close_at)
+{
+    if (endpoint_state* at = state_of(*link))
+        --at->running_;
+    if (link->is_open())
+        abandoned_.push_back({link, close_at});
+}
+
+void endpoint_group::roll_back(const link_ptr& link, instant now)
+{
+    if (!link->is_open())
+        return give_back(link, false, now);
+    limited_.push_back({link, now + options_.roll_back_ms_});
+    link->ask({.kind_ = statement_kind::rollback}, std::nullopt,
+              [this, link,
+               alive = std::weak_ptr<bool>(alive_)](const result<reply>& got)
+              {
+                  bool idle = got && !got->error_ &&
+                              got->state_ == transaction_state::idle;
+                  if (!alive.expired())
+                      give_back(link, idle, monotonic_now());
+              });
+    link->flush();
+}
+
+void endpoint_group::on_asked(const link_ptr& link, instant now)
+{
+    endpoint_state* at = state_of(*link);
+    if (at != nullptr && at->unanswered_since_ == never)
+        at->unanswered_since_ = now;
+}
+
+void endpoint_group::on_answered(const link_ptr& link, instant asked,
+                                 instant now, const reply&)
+{
+    endpoint_state* at = state_of(*link);
+    if (at == nullptr)
+        return;
+    auto took = static_cast<double>(now - asked);
+    at->answer_ms_ =
+        at->answer_ms_ <= 0
+            ? took
+            : at->answer_ms_ * (1 - answer_weight) + took * answer_weight;
+}
+
+void endpoint_group::on_lagging(const link_ptr& link, std::int64_t behind_ms)
+{
+    endpoint_state* at = state_of(*link);
+    if (at == nullptr)
+        return;
+    // The next question comes when the replica has had half as long again.
+    constexpr double longer = 1.5;
+    at->lag_ms_ = std::clamp(static_cast<double>(behind_ms) * longer,
+                             at->lag_ms_, most_lag_ms);
+}
+
+void endpoint_group::on_not_primary(const link_ptr& link, instant now)
+{
+    endpoint_state* at = state_of(*link);
+    if (at == nullptr)
+        return;
+    at->not_primary_until_ = now + options_.avoid_ms_;
+    log_line(log_level::info, "endpoint_does_not_lead",
+             {{"service", at->entry_.service_}, {"endpoint", at->entry_.id_}});
+}
+
+void endpoint_group::on_failed(const link_ptr& link, instant now)
+{
+    if (endpoint_state* at = state_of(*link))
+        at->avoided_until_ = now + options_.avoid_ms_;
+}
+
+void endpoint_group::close_surplus(endpoint_state& at, instant now)
+{
+    while (at.links_ > share_ && !at.idle_.empty() &&
+           now - at.idle_.front()->idle_since_ > options_.surplus_idle_ms_)
+    {
+        link_ptr link = at.idle_.front();
+        at.idle_.erase(at.idle_.begin());
+        link->close({error_code::lost, "surplus"});
+    }
+}
+
+void endpoint_group::tick(instant now)
+{
+    for (auto& at : endpoints_)
+    {
+        close_surplus(*at, now);
+        at->lag_ms_ = std::max(at->lag_ms_ * lag_fading, least_lag_ms);
+        std::size_t warm = std::min(options_.warm_links_, share_);
+        while (at->listed_ && at->links_ + at->opening_ < warm &&
+               may_open(*at, now) && at->avoided_until_ <= now)
+            open_link(*at, now);
+    }
+    end_late_links(now);
+    if (!waiting_.empty())
+        schedule_dispatch();
+}
+
+void endpoint_group::end_late_links(instant now)
+{
+    for (const auto& one : std::exchange(limited_, {}))
+    {
+        if (!one.link_->awaits_reply())
+            continue;
+        if (now >= one.close_at_)
+            one.link_->close({error_code::lost, "no answer in time"});
+        else
+            limited_.push_back(one);
+    }
+    for (const auto& one : std::exchange(abandoned_, {}))
+    {
+        if (one.link_->awaits_reply() && now >= one.close_at_)
+            one.link_->close({error_code::lost, "no answer in time"});
+        else if (one.link_->awaits_reply())
+            abandoned_.push_back(one);
+        else if (endpoint_state* at = state_of(*one.link_))
+        {
+            ++at->running_;
+            give_back(one.link_, true, now);
+        }
+    }
+}
+
+primary_health endpoint_group::health() const
+{
+    primary_health out;
+    // The claim counts here, also one that was disproved for now.
+    std::int64_t best_version = -1;
+    const endpoint_state* best = nullptr;
+    for (const auto& at : endpoints_)
+    {
+        std::int64_t version = -1;
+        if (at->entry_.id_ == promoted_.endpoint_id_)
+            version = promoted_.row_version_;
+        if (at->entry_.primary_)
+            version = std::max(version, at->entry_.row_version_);
+        if (version > best_version)
+        {
+            best = at.get();
+            best_version = version;
+        }
+    }
+    if (best == nullptr)
+        return out;
+    out.claimed_ = best->listed_;
+    out.endpoint_id_ = best->entry_.id_;
+    out.address_ = best->entry_.address_;
+    out.leaving_ = best->entry_.leaving_;
+    out.unreachable_ = best->unreachable_;
+    out.last_answer_ = best->last_answer_;
+    out.unanswered_since_ = best->unanswered_since_;
+    return out;
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/node/endpoint_group.h
@@ -0,0 +1,208 @@
+#ifndef TANAGERSPAN_NODE_ENDPOINT_GROUP_H
+#define TANAGERSPAN_NODE_ENDPOINT_GROUP_H
+
+// The endpoints of one service as one proxy sees them: its connections to
+// them, who waits for one, and the marks that prove how fresh a log is.
+//
+// Work that needs a connection is given one at once or waits here, by
+// priority, then by arrival. A connection has one owner at a time: the work
+// that it was given to, or the group while it is idle. Work that gives up
+// before its answer came leaves the connection to the group, which keeps it
+// out of use until the answer is there, or closes it.
+//
+// Who leads is a claim: an endpoint's own entry or the record of a promotion,
+// the later one in the store goes first. A claim that the endpoint itself
+// disproved is passed over for a while, and then the others are tried, since
+// the store may be away: an endpoint that does not lead says so.
+//
+// Traffic thread only.
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coordination/endpoint_choice.h"
+#include "coordination/freshness_marks.h"
+#include "coordination/retry_budget.h"
+#include "node/endpoint_link.h"
+#include "state/service_catalogue.h"
+
+namespace tanagerspan
+{
+
+/// What work asks of a connection.
+struct link_request
+{
+    bool primary_ = false;
+    std::optional<position_need> need_{};
+    std::vector<std::string> excluded_{}; ///< endpoint ids
+    std::int64_t priority_ = 5;
+    const session_values* session_ = nullptr; ///< for choosing a connection
+};
+
+/// A promotion that took effect.
+struct promotion_record
+{
+    std::string endpoint_id_;
+    std::int64_t row_version_ = 0;
+};
+
+/// What the group has seen of its primary, for the failure detector.
+struct primary_health
+{
+    std::string endpoint_id_;
+    std::string address_;
+    bool claimed_ = false; ///< an endpoint of the list leads
+    bool leaving_ = false;
+    bool unreachable_ = false; ///< connections end or are refused
+    instant last_answer_ = never;
+    instant unanswered_since_ = never; ///< `never`: nothing is outstanding
+};
+
+class endpoint_group
+{
+public:
+    struct options
+    {
+        endpoint_link::options link_;
+        std::string data_centre_;
+        /// Kept open to each endpoint, so that a statement need not wait for
+        /// a connection's set-up: one for a transaction, one for the rest.
+        std::size_t warm_links_ = 2;
+        /// An endpoint that failed is passed over this long: about the time
+        /// in which a crashed one is noticed by the others, too.
+        std::int64_t avoid_ms_ = 500;
+        /// An endpoint that refused a connection for want of room is left
+        /// alone this long, in which other proxies give some back.
+        std::int64_t full_ms_ = 300;
+        /// Idle connections beyond the share are closed after this, so that
+        /// other proxies find room.
+        std::int64_t surplus_idle_ms_ = 2000;
+        /// A connection that is not open by then is given up.
+        std::int64_t open_ms_ = 1500;
+        /// A connection that does not roll back by then is closed.
+        std::int64_t roll_back_ms_ = 1000;
+    };
+
+    /// `granted` gets an idle link, exclusively.
+    using grant_handler = std::function<void(link_ptr)>;
+    using ticket = std::uint64_t;
+
+    endpoint_group(boost::asio::io_context& loop, options opts);
+    ~endpoint_group();
+
+    /// `share`: connections to one endpoint that this proxy may always have.
+    void set_endpoints(const endpoint_list& endpoints, std::size_t share,
+                       instant now);
+    void set_promotion(promotion_record record);
+
+    /// Waits for a link; `granted` is called later, never from within.
+    ticket request(link_request wanted, grant_handler granted, instant now);
+    /// Work that no longer waits.
+    void withdraw(ticket which);
+
+    /// Ends the ownership of a link. `usable`: it is in a known idle state.
+    void give_back(const link_ptr& link, bool usable, instant now);
+    /// Ends the ownership of a link whose answers are still awaited.
+    void abandon(const link_ptr& link, instant close_at);
+    /// Ends the ownership of a link in a transaction, which is rolled back.
+    void roll_back(const link_ptr& link, instant now);
+
+    void on_answered(const link_ptr& link, instant asked, instant now,
+                     const reply& got);
+    /// `behind_ms`: how long the position it lacked had been known here.
+    void on_lagging(const link_ptr& link, std::int64_t behind_ms);
+    void on_not_primary(const link_ptr& link, instant now);
+    void on_failed(const link_ptr& link, instant now);
+    void on_asked(const link_ptr& link, instant now);
+
+    /// Housekeeping, called every few ten milliseconds.
+    void tick(instant now);
+
+    /// Repeats of reads that got no answer in time; bounds the added load.
+    retry_budget& repeats()
+    {
+        return repeats_;
+    }
+    freshness_marks& marks()
+    {
+        return marks_;
+    }
+    primary_health health() const;
+    std::size_t waiting() const
+    {
+        return waiting_.size();
+    }
+
+private:
+    /// Believed of a replica before it answered: a usual replication lag.
+    static constexpr double first_lag_ms = 100;
+
+    struct endpoint_state
+    {
+        endpoint_entry entry_;
+        bool listed_ = true;
+        std::vector<link_ptr> idle_;
+        std::size_t links_ = 0; ///< open ones, idle or not
+        std::size_t opening_ = 0;
+        std::int64_t running_ = 0;
+        double answer_ms_ = 0;
+        instant avoided_until_ = never;
+        instant full_until_ = never;
+        instant not_primary_until_ = never;
+        double lag_ms_ = first_lag_ms;
+        instant last_answer_ = never;
+        instant unanswered_since_ = never;
+        bool unreachable_ = false;
+        log_position known_;
+    };
+    struct waiting_work
+    {
+        ticket ticket_;
+        link_request wanted_;
+        grant_handler granted_;
+        instant since_;
+    };
+    struct limited_link
+    {
+        link_ptr link_;
+        instant close_at_;
+    };
+
+    endpoint_state* state_of(const endpoint_link& link);
+    std::optional<std::size_t> primary_index(instant now) const;
+    std::vector<endpoint_load> loads(bool idle_only, instant now) const;
+    std::optional<std::size_t> choose(const link_request& wanted,
+                                      bool idle_only, instant now) const;
+    bool may_open(const endpoint_state& at, instant now) const;
+    void open_link(endpoint_state& at, instant now);
+    void on_opened(const link_ptr& link, const result<reply>& first);
+    link_ptr take_idle(endpoint_state& at, const session_values* session);
+    void schedule_dispatch();
+    void dispatch();
+    void close_surplus(endpoint_state& at, instant now);
+    void end_late_links(instant now);
+
+    boost::asio::io_context& loop_;
+    options options_;
+    std::size_t share_ = 1;
+    std::vector<std::unique_ptr<endpoint_state>> endpoints_;
+    std::list<waiting_work> waiting_;
+    std::vector<limited_link> abandoned_; ///< given back once answered
+    std::vector<limited_link> limited_;   ///< closed unless answered in time
+    freshness_marks marks_{{}};
+    retry_budget repeats_{{.earned_per_attempt_ = 0.05, .cap_ = 10.0}};
+    promotion_record promoted_;
+    ticket next_ticket_ = 1;
+    bool dispatch_scheduled_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace tanagerspan
+
+#endif
--- /dev/null
+++ b/node/endpoint_link.cc
@@ -0,0 +1,109 @@
+#include "node/endpoint_link.h"
+
+#include <utility>
+
+namespace tanagerspan
+{
+
+endpoint_link::endpoint_link(boost::asio::io_context& loop, options opts,
+                             endpoint_entry endpoint)
+    : loop_(loop), options_(std::move(opts)), endpoint_(std::move(endpoint))
+{
+}
+
+endpoint_link::~endpoint_link()
+{
+    if (stream_)
+        stream_->close();
+}
+
+void endpoint_link::open(reply_handler done)
+{
+    auto peer = parse_endpoint(endpoint_.address_);
+    if (!peer)
+        return done(tl::unexpected(peer.error()));
+    awaited_.push_back(std::move(done));
+    options_.codec_->put_open(output_, endpoint_.service_, options_.user_,
+                              endpoint_.id_);
+    stream_ = std::make_shared<byte_stream>(tcp_socket(loop_));
+    std::weak_ptr<endpoint_link> weak = weak_from_this();
+    byte_stream::handlers handlers{.on_input_ =
+                                       [weak]
+                                   {
+                                       if (auto self = weak.lock())
+                                           self->take_replies();
+                                   },
+                                   .on_end_ =
+                                       [weak](const failure& why)
+                                   {
+                                       if (auto self = weak.lock())
+                                           self->close(why);
+                                   }};
+    stream_->open(*peer, std::move(handlers),
+                  [weak](result<void> opened)
+                  {
+                      auto self = weak.lock();
+                      if (!self)
+                          return;
+                      if (!opened)
+                          return self->close(opened.error());
+                      self->flush();
+                  });
+}
+
+void endpoint_link::ask(const statement& what,
+                        std::optional<log_position> after, reply_handler done)
+{
+    awaited_.push_back(std::move(done));
+    options_.codec_->put_statement(output_, what, after);
+}
+
+void endpoint_link::flush()
+{
+    if (!is_open())
+        return close({error_code::lost, "closed before"});
+    stream_->send(output_);
+    output_.clear();
+}
+
+void endpoint_link::take_replies()
+{
+    auto self = shared_from_this(); // a handler may drop the link
+    while (is_open())
+    {
+        auto got = options_.codec_->take_reply(stream_->input(), partial_);
+        if (!got)
+            return close(got.error());
+        if (!*got)
+            return;
+        if (awaited_.empty())
+            return close({error_code::malformed, "reply to nothing"});
+        auto done = std::move(awaited_.front());
+        awaited_.pop_front();
+        opened_ = true;
+        if (on_reply_)
+            on_reply_(**got);
+        done(std::move(**got));
+    }
+}
+
+void endpoint_link::close(const failure& why)
+{
+    auto self = shared_from_this();
+    if (stream_)
+        stream_->close();
+    auto awaited = std::exchange(awaited_, {});
+    // A refused session is answered with an error alone before the end.
+    if (!opened_ && partial_.error_ && !awaited.empty())
+    {
+        auto done = std::move(awaited.front());
+        awaited.pop_front();
+        done(std::exchange(partial_, {}));
+    }
+    for (auto& done : awaited)
+        done(tl::unexpected(why));
+    if (auto on_close = std::exchange(on_close_, nullptr))
+        on_close();
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/node/fleet_control.cc
@@ -0,0 +1,186 @@
+#include "node/fleet_control.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "transport/json_log.h"
+#include "transport/monotonic_clock.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+// A registration that failed is tried again after this; only the shares of
+// connections depend on it.
+constexpr std::int64_t register_retry_ms = 1000;
+
+table_feed::options feed_of(const std::string& table, std::uint64_t seed)
+{
+    return {.table_ = table, .seed_ = seed};
+}
+
+} // namespace
+
+fleet_control::fleet_control(boost::asio::io_context& loop, table_store& store,
+                             options opts, outputs to)
+    : loop_(loop), store_(store), options_(std::move(opts)),
+      outputs_(std::move(to)),
+      settings_(loop, store,
+                feed_of(options_.format_.settings_table_, options_.seed_),
+                [this](const rows& current)
+                {
+                    on_settings(current);
+                }),
+      endpoints_(loop, store,
+                 feed_of(options_.format_.endpoints_table_, options_.seed_),
+                 [this](const rows& current)
+                 {
+                     on_endpoints(current);
+                 }),
+      hosts_(loop, store, feed_of(hosts_table, options_.seed_),
+             [this](const rows& current)
+             {
+                 on_hosts(current);
+             }),
+      promotions_(loop, store, feed_of(promotions_table, options_.seed_),
+                  [this](const rows& current)
+                  {
+                      on_promotions(current);
+                  }),
+      register_timer_(loop), expiry_timer_(loop)
+{
+}
+
+void fleet_control::start()
+{
+    settings_.start();
+    endpoints_.start();
+    hosts_.start();
+    promotions_.start();
+    register_host();
+}
+
+void fleet_control::register_host()
+{
+    if (leaving_)
+        return;
+    table_transaction change{.put_ = {{.table_ = hosts_table,
+                                       .key_ = options_.host_name_,
+                                       .value_ = options_.data_centre_}}};
+    store_.transact(change,
+                    [this](const result<transaction_answer>& got)
+                    {
+                        if (got)
+                            return;
+                        register_timer_.expires_after(
+                            std::chrono::milliseconds(register_retry_ms));
+                        register_timer_.async_wait(
+                            [this](io_error cancelled)
+                            {
+                                if (!cancelled)
+                                    register_host();
+                            });
+                    });
+}
+
+void fleet_control::leave(std::function<void()> done)
+{
+    leaving_ = true;
+    table_transaction change{
+        .removed_ = {{.table_ = hosts_table, .key_ = options_.host_name_}}};
+    store_.transact(change,
+                    [done = std::move(done)](const result<transaction_answer>&)
+                    {
+                        done();
+                    });
+}
+
+void fleet_control::on_settings(const rows& current)
+{
+    auto row = current.find(options_.format_.settings_key_);
+    if (row == current.end())
+        return;
+    auto table = options_.format_.routes_(row->second.value_);
+    if (!table)
+    {
+        log_line(log_level::error, "settings_unusable",
+                 {{"detail", table.error().detail_}});
+        return;
+    }
+    if (table->version_ <= routes_version_)
+        return;
+    routes_version_ = table->version_;
+    outputs_.routes_(std::make_shared<const route_table>(std::move(*table)));
+}
+
+void fleet_control::on_endpoints(const rows& current)
+{
+    instant now = monotonic_now();
+    for (const auto& [id, row] : current)
+    {
+        auto entry = options_.format_.endpoint_(id, row.value_, row.version_);
+        if (!entry)
+        {
+            log_line(log_level::info, "endpoint_entry_unusable",
+                     {{"endpoint", id}, {"detail", entry.error().detail_}});
+            continue;
+        }
+        known_[id] = std::move(*entry);
+        missing_since_.erase(id);
+    }
+    for (const auto& [id, entry] : known_)
+    {
+        if (!current.contains(id))
+            missing_since_.try_emplace(id, now);
+    }
+    publish_endpoints();
+}
+
+void fleet_control::publish_endpoints()
+{
+    instant now = monotonic_now();
+    auto list = std::make_shared<endpoint_list>();
+    std::erase_if(known_,
+                  [&](const auto& known)
+                  {
+                      auto since = missing_since_.find(known.first);
+                      bool gone =
+                          since != missing_since_.end() &&
+                          now - since->second >= options_.keep_missing_ms_;
+                      if (gone)
+                          missing_since_.erase(since);
+                      return gone;
+                  });
+    for (const auto& [id, entry] : known_)
+        list->push_back(entry);
+    outputs_.endpoints_(std::move(list), proxies_);
+    if (!missing_since_.empty())
+        schedule_expiry();
+}
+
+void fleet_control::schedule_expiry()
+{
+    expiry_timer_.expires_after(
+        std::chrono::milliseconds(options_.keep_missing_ms_));
+    expiry_timer_.async_wait(
+        [this](io_error cancelled)
+        {
+            if (!cancelled)
+                publish_endpoints();
+        });
+}
+
+void fleet_control::on_hosts(const rows& current)
+{
+    proxies_ = std::max<std::size_t>(current.size(), 1);
+    publish_endpoints();
+}
+
+void fleet_control::on_promotions(const rows& current)
+{
+    for (const auto& [service, row] : current)
+        outputs_.promoted_(service, row.value_, row.version_);
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/node/fleet_control.h
@@ -0,0 +1,107 @@
+#ifndef TANAGERSPAN_NODE_FLEET_CONTROL_H
+#define TANAGERSPAN_NODE_FLEET_CONTROL_H
+
+// The control side of a proxy: what it learns from the store, on one thread.
+//
+// Three tables are followed: the operators' settings, the endpoints' entries
+// and the fleet's own rows, which hold the live hosts and the promotions. From
+// them come immutable values for the traffic side. A version of the settings
+// lower than one already taken is never handed on, whatever the store says.
+//
+// Control thread only; handlers of `outputs` are called on it.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "node/table_feed.h"
+#include "protocol/table_store.h"
+#include "state/service_catalogue.h"
+
+namespace tanagerspan
+{
+
+/// Where the outside keeps what a proxy follows, and how it reads.
+struct catalogue_format
+{
+    std::string settings_table_;
+    std::string settings_key_;
+    std::string endpoints_table_;
+    std::function<result<route_table>(std::string_view)> routes_;
+    std::function<result<endpoint_entry>(
+        std::string_view id, std::string_view text, std::int64_t row_version)>
+        endpoint_;
+};
+
+class fleet_control
+{
+public:
+    struct options
+    {
+        std::string host_name_;
+        std::string data_centre_;
+        catalogue_format format_;
+        /// An endpoint whose entry went away is kept this long: entries lapse
+        /// while the store is away and are back within about two seconds.
+        std::int64_t keep_missing_ms_ = 2500;
+        std::uint64_t seed_ = 1;
+    };
+    struct outputs
+    {
+        std::function<void(route_table_ptr)> routes_;
+        std::function<void(endpoint_list_ptr, std::size_t proxies)> endpoints_;
+        /// Service, the endpoint that was promoted, the row's version.
+        std::function<void(const std::string&, const std::string&,
+                           std::int64_t)>
+            promoted_;
+    };
+
+    fleet_control(boost::asio::io_context& loop, table_store& store,
+                  options opts, outputs to);
+
+    void start();
+
+    /// Takes this host out of the list of live ones; `done` when it is out or
+    /// the store did not answer.
+    void leave(std::function<void()> done);
+
+    /// Names of the tables that the fleet keeps.
+    static constexpr const char* hosts_table = "tanager-hosts";
+    static constexpr const char* promotions_table = "tanager-promotions";
+
+private:
+    using rows = std::map<std::string, table_row>;
+
+    void register_host();
+    void on_settings(const rows& current);
+    void on_endpoints(const rows& current);
+    void on_hosts(const rows& current);
+    void on_promotions(const rows& current);
+    void publish_endpoints();
+    void schedule_expiry();
+
+    boost::asio::io_context& loop_;
+    table_store& store_;
+    options options_;
+    outputs outputs_;
+    table_feed settings_;
+    table_feed endpoints_;
+    table_feed hosts_;
+    table_feed promotions_;
+    boost::asio::steady_timer register_timer_;
+    boost::asio::steady_timer expiry_timer_;
+    std::int64_t routes_version_ = 0;
+    std::map<std::string, endpoint_entry> known_;
+    std::map<std::string, instant> missing_since_;
+    std::size_t proxies_ = 1;
+    bool leaving_ = false;
+};
+
+} // namespace tanagerspan
+
+#endif
--- /dev/null
+++ b/node/traffic_front.h
@@ -0,0 +1,91 @@
+#ifndef TANAGERSPAN_NODE_TRAFFIC_FRONT_H
+#define TANAGERSPAN_NODE_TRAFFIC_FRONT_H
+
+// The traffic side of a proxy: accepts callers, holds their sessions and the
+// endpoint groups, and ticks them. It reads immutable route tables and
+// endpoint lists that the control side hands in and decides nothing about
+// the fleet.
+//
+// All functions on the loop's thread; the control side posts to it.
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "node/caller_session.h"
+#include "node/endpoint_group.h"
+
+namespace tanagerspan
+{
+
+class traffic_front
+{
+public:
+    struct options
+    {
+        const session_codec* codec_ = nullptr;
+        std::string host_name_;
+        std::string data_centre_;
+        std::string callers_address_;
+        /// How often time limits are looked at: a fraction of the shortest
+        /// limit, and few enough wake-ups to cost nothing.
+        std::int64_t tick_ms_ = 40;
+        /// Callers still arrive for two probes after the first refusal.
+        std::int64_t accept_after_drain_ms_ = 2500;
+    };
+
+    traffic_front(boost::asio::io_context& loop, options opts);
+    ~traffic_front();
+
+    /// Listens. Errors: unavailable, malformed.
+    result<void> start();
+
+    void set_routes(route_table_ptr routes);
+    /// `proxies`: how many share the endpoints' connections.
+    void set_endpoints(endpoint_list_ptr endpoints, std::size_t proxies);
+    void set_promotion(const std::string& service, promotion_record record);
+
+    /// Ends idle sessions after a while and the rest as they become idle.
+    /// `done` once none is left, or after `limit_ms`.
+    void drain(std::int64_t limit_ms, std::function<void()> done);
+
+    bool has_routes() const
+    {
+        return routes_ != nullptr;
+    }
+    std::map<std::string, primary_health> health() const;
+    std::string metrics() const;
+
+private:
+    void accept_next();
+    void schedule_tick();
+    void tick();
+    void tick_drain(instant now);
+    std::shared_ptr<endpoint_group> group_of(const std::string& service);
+    void apply_endpoints();
+    std::size_t share_of(const std::string& service) const;
+
+    boost::asio::io_context& loop_;
+    options options_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer timer_;
+    session_counters counters_;
+    session_surroundings around_;
+    std::list<std::shared_ptr<caller_session>> sessions_;
+    std::map<std::string, std::shared_ptr<endpoint_group>> groups_;
+    std::map<std::string, promotion_record> promotions_;
+    route_table_ptr routes_;
+    endpoint_list_ptr endpoints_;
+    std::size_t proxies_ = 1;
+    instant drain_since_ = never;
+    instant drain_until_ = never;
+    std::function<void()> drained_;
+};
+
+} // namespace tanagerspan
+
+#endif
--- /dev/null
+++ b/protocol/session_messages.h
@@ -0,0 +1,163 @@
+#ifndef TANAGERSPAN_PROTOCOL_SESSION_MESSAGES_H
+#define TANAGERSPAN_PROTOCOL_SESSION_MESSAGES_H
+
+// Messages of database sessions, on both sides of a proxy, as types.
+//
+// A session is a connection. The caller opens it for a database, sends one
+// statement at a time and gets for each a reply that ends with the session's
+// transaction state and the log position of the answering endpoint. Towards
+// endpoints the proxy speaks the same messages.
+//
+// The bytes are a codec's matter (`session_codec`), so that the decisions
+// serve any wire format. A codec is stateless and may be shared by threads.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "state/failure.h"
+#include "state/log_position.h"
+
+namespace tanagerspan
+{
+
+enum class statement_kind
+{
+    begin,
+    begin_read_only,
+    commit,
+    rollback,
+    read,
+    write,
+    set_value,
+    prepare,
+    execute,
+    deallocate,
+    discard, ///< clears a connection's values and prepared statements
+    status,
+    pause_receiving, ///< a replica takes no more of the log
+    resume_receiving,
+    step_down,
+    unknown ///< well-framed, but no statement of the dialect
+};
+
+/// One statement. Which fields are used depends on the kind.
+struct statement
+{
+    statement_kind kind_ = statement_kind::unknown;
+    std::string id_;        ///< the caller's; empty for the proxy's own
+    std::string name_;      ///< of the value or the prepared statement
+    std::string arguments_; ///< value, shape, item and data, as received
+    bool writes_ = false;   ///< of a prepared shape, or of a plain write
+    std::uint64_t term_ = 0;
+};
+
+struct open_session
+{
+    std::string database_;
+    std::string user_;
+};
+
+struct end_session
+{
+};
+
+using caller_message = std::variant<open_session, statement, end_session>;
+
+enum class transaction_state
+{
+    idle,
+    open,
+    failed ///< only its end is accepted, which rolls back
+};
+
+/// Why a statement was not answered with rows.
+enum class reply_error
+{
+    busy,
+    aborted,
+    lagging,
+    read_only,
+    wrong_endpoint,
+    too_many_connections,
+    failed,
+    no_statement,
+    timeout,
+    unauthorised,
+    no_database,
+    too_large,
+    malformed,
+    in_doubt
+};
+
+/// The name in logs and metrics.
+std::string_view name_of(reply_error code);
+
+/// True where the error promises that nothing of the attempt is kept.
+bool promises_nothing_kept(reply_error code);
+
+struct reply
+{
+    std::vector<std::string> rows_;
+    std::optional<reply_error> error_;
+    std::string text_; ///< the digest, or the error's text
+    transaction_state state_ = transaction_state::idle;
+    std::optional<log_position> position_;
+};
+
+/// An endpoint's answer to `status`.
+struct endpoint_status
+{
+    bool primary_ = false;
+    std::uint64_t term_ = 0;
+    log_position received_;
+    std::uint64_t paused_by_term_ = 0;
+    std::int64_t lag_ms_ = 0;
+    std::int64_t busy_ = 0;
+    std::int64_t connections_ = 0;
+};
+
+/// The largest message that is read, in bytes.
+constexpr std::size_t max_session_message = std::size_t{1} << 20;
+
+/// Translates between bytes and messages. Each `take_` function removes one
+/// whole message from the front of `buffer`; nullopt when more bytes are
+/// needed. Errors: malformed, too_large; the connection is then of no use.
+class session_codec
+{
+public:
+    virtual ~session_codec() = default;
+
+    virtual result<std::optional<caller_message>>
+    take_caller_message(std::string& buffer) const = 0;
+
+    /// A reply ends with the state line; `partial` keeps what came before it
+    /// between calls.
+    virtual result<std::optional<reply>> take_reply(std::string& buffer,
+                                                    reply& partial) const = 0;
+
+    virtual void put_reply(std::string& out, const reply& value) const = 0;
+
+    /// The answer to a session that is not opened; the connection ends.
+    virtual void put_open_refusal(std::string& out, reply_error error,
+                                  std::string_view text) const = 0;
+
+    /// Opens a session at an endpoint, which refuses if it is not `expected`.
+    virtual void put_open(std::string& out, std::string_view service,
+                          std::string_view user,
+                          std::string_view expected) const = 0;
+
+    /// A statement; with `after` it is refused where the log lacks that
+    /// position.
+    virtual void put_statement(std::string& out, const statement& value,
+                               std::optional<log_position> after) const = 0;
+
+    virtual result<endpoint_status> status_of(const reply& value) const = 0;
+};
+
+} // namespace tanagerspan
+
+#endif
--- a/state/failure.cc
+++ b/state/failure.cc
@@ -38,6 +38,8 @@
     entry{error_code::not_sent, "not_sent"},
     entry{error_code::lost, "lost"},
     entry{error_code::unavailable, "unavailable"},
+    entry{error_code::over_rate, "over_rate"},
+    entry{error_code::compacted, "compacted"},
 };
 
 } // namespace
--- a/state/failure.h
+++ b/state/failure.h
@@ -47,9 +47,11 @@
     future_position,
 
     // Transport.
-    not_sent,   ///< failed before the first byte of the request went out
-    lost,       ///< failed after that; the peer may have acted
-    unavailable ///< the platform answered that it cannot serve now
+    not_sent,    ///< failed before the first byte of the request went out
+    lost,        ///< failed after that; the peer may have acted
+    unavailable, ///< the platform answered that it cannot serve now
+    over_rate,   ///< the platform turned the call away; nothing was done
+    compacted    ///< the history asked for is no longer kept
 };
 
 /// The code's name as it stands in answers, logs and metrics.
--- /dev/null
+++ b/transport/http_channel.h
@@ -0,0 +1,65 @@
+#ifndef TANAGERSPAN_TRANSPORT_HTTP_CHANNEL_H
+#define TANAGERSPAN_TRANSPORT_HTTP_CHANNEL_H
+
+// An HTTP/1.1 client on one kept-alive connection, without threads of its
+// own: exchanges go one after another on an event loop. A connection on which
+// anything went wrong is closed; the next exchange opens a new one.
+//
+//   http_channel channel(loop, endpoint);
+//   channel.send({.target_ = "/x", .limit_ms_ = 1000}, [](auto answer) {...});
+//
+// All calls and handlers on the loop's thread.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "state/failure.h"
+#include "transport/socket_options.h"
+
+namespace tanagerspan
+{
+
+struct http_call
+{
+    std::string method_ = "GET";
+    std::string target_;
+    std::string body_{};
+    std::vector<std::pair<std::string, std::string>> headers_{};
+    std::int64_t limit_ms_ = 2000; ///< for connecting and the whole exchange
+};
+
+struct http_reply
+{
+    int status_ = 0;
+    std::string body_;
+};
+
+class http_channel
+{
+public:
+    using handler = std::function<void(result<http_reply>)>;
+
+    http_channel(boost::asio::io_context& loop,
+                 boost::asio::ip::tcp::endpoint peer);
+    ~http_channel();
+    http_channel(const http_channel&) = delete;
+    http_channel& operator=(const http_channel&) = delete;
+
+    /// Queues one exchange. Errors: not_sent when no byte of it went out,
+    /// lost otherwise.
+    void send(http_call call, handler done);
+
+private:
+    struct impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace tanagerspan
+
+#endif
--- /dev/null
+++ b/transport/http_responder.cc
@@ -0,0 +1,104 @@
+#include "transport/http_responder.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace tanagerspan
+{
+namespace http = boost::beast::http;
+namespace
+{
+
+// Requests are a line and a few headers.
+constexpr std::size_t max_request_bytes = 8192;
+
+struct connection : std::enable_shared_from_this<connection>
+{
+    tcp_socket socket_;
+    http_responder::handler answers_;
+    boost::beast::flat_buffer buffer_{max_request_bytes};
+    http::request<http::string_body> request_;
+    http::response<http::string_body> response_;
+
+    connection(tcp_socket socket, http_responder::handler answers)
+        : socket_(std::move(socket)), answers_(std::move(answers))
+    {
+    }
+
+    void read()
+    {
+        request_ = {};
+        http::async_read(
+            socket_, buffer_, request_,
+            [self = shared_from_this()](io_error wrong, std::size_t)
+            {
+                if (!wrong)
+                    self->write();
+            });
+    }
+
+    void write()
+    {
+        auto method = request_.method_string();
+        auto target = request_.target();
+        http_reply answer = answers_({method.data(), method.size()},
+                                     {target.data(), target.size()});
+        response_ = {};
+        response_.version(request_.version());
+        response_.result(static_cast<unsigned>(answer.status_));
+        response_.keep_alive(request_.keep_alive());
+        response_.body() = std::move(answer.body_);
+        response_.prepare_payload();
+        http::async_write(
+            socket_, response_,
+            [self = shared_from_this()](io_error wrong, std::size_t)
+            {
+                if (!wrong && self->response_.keep_alive())
+                    self->read();
+            });
+    }
+};
+
+} // namespace
+
+http_responder::http_responder(boost::asio::io_context& loop, handler answers)
+    : acceptor_(loop), answers_(std::move(answers))
+{
+}
+
+result<void> http_responder::start(std::string_view address)
+{
+    auto at = parse_endpoint(address);
+    if (!at)
+        return tl::unexpected(at.error());
+    io_error wrong;
+    acceptor_.open(at->protocol(), wrong);
+    acceptor_.set_option(boost::asio::socket_base::reuse_address(true), wrong);
+    acceptor_.bind(*at, wrong);
+    if (!wrong)
+        acceptor_.listen(boost::asio::socket_base::max_listen_connections,
+                         wrong);
+    if (wrong)
+        return fail(error_code::unavailable, wrong.message());
+    accept_next();
+    return {};
+}
+
+void http_responder::accept_next()
+{
+    acceptor_.async_accept(
+        [this](io_error wrong, tcp_socket socket)
+        {
+            if (wrong == boost::asio::error::operation_aborted)
+                return;
+            if (!wrong)
+            {
+                set_silence_bounds(socket, {});
+                std::make_shared<connection>(std::move(socket), answers_)
+                    ->read();
+            }
+            accept_next();
+        });
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/transport/http_responder.h
@@ -0,0 +1,40 @@
+#ifndef TANAGERSPAN_TRANSPORT_HTTP_RESPONDER_H
+#define TANAGERSPAN_TRANSPORT_HTTP_RESPONDER_H
+
+// A small HTTP/1.1 server on an event loop, for probes and metrics: short
+// requests, answers made on the spot. All on the loop's thread.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+
+#include "transport/http_channel.h"
+
+namespace tanagerspan
+{
+
+class http_responder
+{
+public:
+    using handler = std::function<http_reply(std::string_view method,
+                                             std::string_view target)>;
+
+    http_responder(boost::asio::io_context& loop, handler answers);
+
+    /// Listens on IP:PORT. Errors: malformed, unavailable.
+    result<void> start(std::string_view address);
+
+private:
+    void accept_next();
+
+    boost::asio::ip::tcp::acceptor acceptor_;
+    handler answers_;
+};
+
+} // namespace tanagerspan
+
+#endif
--- a/transport/json_log.cc
+++ b/transport/json_log.cc
@@ -1,10 +1,9 @@
 #include "transport/json_log.h"
 
-#include <iostream>
+#include <array>
+#include <cstdio>
+#include <ctime>
 
-#include <Poco/DateTimeFormat.h>
-#include <Poco/DateTimeFormatter.h>
-#include <Poco/Timestamp.h>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
@@ -39,16 +38,31 @@
     }
 }
 
+/// For people only: no decision looks at the time of day.
+std::string time_of_day()
+{
+    timespec now{};
+    clock_gettime(CLOCK_REALTIME, &now);
+    std::tm parts{};
+    gmtime_r(&now.tv_sec, &parts);
+    constexpr long ns_per_us = 1000;
+    std::array<char, 64> date{};
+    std::array<char, 96> whole{};
+    std::strftime(date.data(), date.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::snprintf(whole.data(), whole.size(), "%s.%06ldZ", date.data(),
+                  now.tv_nsec / ns_per_us);
+    return whole.data();
+}
+
 } // namespace
 
-void start_json_log(std::string process, log_level lowest)
+void start_json_log(std::string process, log_level lowest, std::ostream& out)
 {
     process_name() = std::move(process);
     namespace expr = boost::log::expressions;
-    boost::log::add_console_log(std::cerr,
-                                boost::log::keywords::format =
-                                    expr::stream << expr::smessage,
-                                boost::log::keywords::auto_flush = true);
+    boost::log::add_console_log(
+        out, boost::log::keywords::format = expr::stream << expr::smessage,
+        boost::log::keywords::auto_flush = true);
     boost::log::core::get()->set_filter(expr::attr<int>("Severity") >=
                                         static_cast<int>(lowest));
 }
@@ -59,8 +73,7 @@
     BOOST_LOG_SEV(logger, static_cast<int>(level)) << [&]
     {
         nlohmann::ordered_json line;
-        line["time"] = Poco::DateTimeFormatter::format(
-            Poco::Timestamp(), Poco::DateTimeFormat::ISO8601_FRAC_FORMAT);
+        line["time"] = time_of_day();
         line["level"] = std::string(level_name(level));
         line["process"] = process_name();
         line["event"] = std::string(event);
--- a/transport/json_log.h
+++ b/transport/json_log.h
@@ -1,13 +1,14 @@
 #ifndef TANAGERSPAN_TRANSPORT_JSON_LOG_H
 #define TANAGERSPAN_TRANSPORT_JSON_LOG_H
 
-// Structured logs: one JSON object a line on standard error, by Boost.Log.
+// Structured logs: one JSON object a line, by Boost.Log.
 //
 //   start_json_log("proxy-1", log_level::info);
 //   log_line(log_level::info, "promotion", {{"term", 4}});
 //
 // Thread safe after `start_json_log`.
 
+#include <iostream>
 #include <string>
 #include <string_view>
 
@@ -24,7 +25,9 @@
     error
 };
 
-void start_json_log(std::string process, log_level lowest);
+/// Lines go to `out`, which outlives the process's threads.
+void start_json_log(std::string process, log_level lowest,
+                    std::ostream& out = std::cerr);
 
 /// Writes one line with the time, level, process and event, then `fields`.
 void log_line(log_level level, std::string_view event,
--- a/transport/monotonic_clock.cc
+++ b/transport/monotonic_clock.cc
@@ -1,14 +1,19 @@
 #include "transport/monotonic_clock.h"
 
-#include <chrono>
+#include <ctime>
 
 namespace tanagerspan
 {
 
 std::int64_t monotonic_us()
 {
-    auto since = std::chrono::steady_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::microseconds>(since).count();
+    // The steady clock stands still while a host is suspended; an age taken
+    // from it would be too small afterwards.
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    constexpr std::int64_t us_per_s = 1'000'000;
+    constexpr std::int64_t ns_per_us = 1000;
+    return now.tv_sec * us_per_s + now.tv_nsec / ns_per_us;
 }
 
 instant monotonic_now()
