Primaries are replaced: takeovers by claim, hold, comparison and order

Change: takeover and takeover_trigger decide, takeover_driver carries out; a link knows its transaction state and is never lent in one.

--- /dev/null
+++ b/coordination/takeover.cc
@@ -0,0 +1,394 @@
+#include "coordination/takeover.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace tanagerspan
+{
+
+using kind = takeover_action::kind;
+
+std::string_view name_of(takeover_reason reason)
+{
+    switch (reason)
+    {
+    case takeover_reason::leaving:
+        return "leaving";
+    case takeover_reason::silent:
+        return "silent";
+    case takeover_reason::stuck:
+        return "stuck";
+    case takeover_reason::unfinished:
+        return "unfinished";
+    default:
+        return "no_primary";
+    }
+}
+
+takeover::takeover(options opts, takeover_reason reason, std::string primary_id,
+                   std::vector<takeover_member> members,
+                   std::optional<std::string> ordered_before, instant claimed)
+    : options_(opts), reason_(reason), primary_id_(std::move(primary_id)),
+      ordered_before_(std::move(ordered_before)), claimed_(claimed)
+{
+    for (auto& one : members)
+        members_.push_back({.who_ = std::move(one)});
+}
+
+takeover::member_state* takeover::find(const std::string& id)
+{
+    for (auto& one : members_)
+    {
+        if (one.who_.id_ == id)
+            return &one;
+    }
+    return nullptr;
+}
+
+std::vector<takeover::member_state*> takeover::replicas()
+{
+    std::vector<member_state*> out;
+    for (auto& one : members_)
+    {
+        if (one.who_.id_ != primary_id_)
+            out.push_back(&one);
+    }
+    return out;
+}
+
+bool takeover::lease_over(instant now) const
+{
+    return now - claimed_ >= options_.lease_ms_;
+}
+
+takeover::actions takeover::start(instant now)
+{
+    phase_since_ = now;
+    actions out;
+    for (auto& one : members_)
+    {
+        one.asked_ = now;
+        out.push_back({kind::ask_status, one.who_.id_});
+    }
+    if (members_.empty())
+        return finish("", "no endpoint is known");
+    return out;
+}
+
+takeover::actions takeover::on_status(const std::string& id,
+                                      std::optional<endpoint_status> status,
+                                      instant now)
+{
+    member_state* one = find(id);
+    if (one == nullptr || finished())
+        return {};
+    one->answered_ = status.has_value();
+    one->failed_ = !status;
+    if (status)
+        one->status_ = *status;
+    if (phase_ == phase::inspecting)
+        return judge_inspection(now);
+    if (phase_ == phase::comparing)
+        return judge_comparison(now);
+    if (phase_ == phase::holding)
+    {
+        bool holds = status && status->paused_by_term_ >= hold_term_;
+        one->held_ = one->held_ || holds;
+        return check_held(now);
+    }
+    if (phase_ == phase::catching_up && id == target_ && status)
+        return check_caught_up(now);
+    if (phase_ == phase::ordering && id == target_ && status &&
+        status->primary_ && status->term_ >= hold_term_)
+        return finish(target_, "it leads");
+    return {};
+}
+
+takeover::actions takeover::judge_inspection(instant now)
+{
+    bool all = std::all_of(members_.begin(), members_.end(),
+                           [](const member_state& one)
+                           {
+                               return one.answered_ || one.failed_;
+                           });
+    if (!all && now - phase_since_ < options_.inspect_ms_)
+        return {};
+    std::uint64_t newest = 0;
+    for (const auto& one : members_)
+    {
+        newest =
+            std::max({newest, one.status_.term_, one.status_.paused_by_term_});
+    }
+    for (const auto& one : members_)
+    {
+        bool leads = one.answered_ && one.status_.primary_ &&
+                     one.status_.term_ == newest && one.who_.id_ != primary_id_;
+        if (leads)
+            return finish(one.who_.id_, "another one leads already");
+    }
+    hold_term_ = newest + 1;
+    member_state* primary = find(primary_id_);
+    bool alive =
+        primary != nullptr && primary->answered_ && primary->status_.primary_;
+    if (auto ended = end_early(alive))
+        return *ended;
+    bool doubted = alive && !primary->who_.leaving_ && !ordered_before_ &&
+                   reason_ != takeover_reason::leaving;
+    if (doubted)
+        return compare(now);
+    forced_ = !alive;
+    return hold_replicas(now);
+}
+
+takeover::actions takeover::compare(instant now)
+{
+    phase_ = phase::comparing;
+    phase_since_ = now;
+    primary_held_ = find(primary_id_)->status_.received_;
+    for (member_state* one : replicas())
+    {
+        one->answered_ = one->failed_ = false;
+        one->asked_ = never;
+    }
+    return {};
+}
+
+takeover::actions takeover::judge_comparison(instant now)
+{
+    bool all = true;
+    for (const member_state* one : replicas())
+    {
+        if (one->answered_ && one->status_.received_ >= primary_held_)
+            return give_up("the primary answers and a replica receives");
+        all = all && (one->answered_ || one->failed_);
+    }
+    bool over =
+        now - phase_since_ >= options_.receive_ms_ + options_.inspect_ms_;
+    if (!all && !over)
+        return {};
+    // It leads, but nothing of what it takes is vouched for by a replica.
+    forced_ = true;
+    return hold_replicas(now);
+}
+
+std::optional<takeover::actions> takeover::end_early(bool alive)
+{
+    // An order that may be under way is brought to its end in any case.
+    if (!alive || ordered_before_)
+        return std::nullopt;
+    if (reason_ == takeover_reason::no_primary)
+        return finish(primary_id_, "it leads");
+    return std::nullopt;
+}
+
+takeover::member_state* takeover::choose_target(bool held_only)
+{
+    member_state* best = nullptr;
+    for (member_state* one : replicas())
+    {
+        if (!one->answered_ || (held_only && !one->held_))
+            continue;
+        auto rank = [this](const member_state* at)
+        {
+            return std::tuple{at->status_.received_, !at->who_.leaving_,
+                              at->who_.id_ == ordered_before_};
+        };
+        if (best == nullptr || rank(one) > rank(best))
+            best = one;
+    }
+    return best;
+}
+
+takeover::actions takeover::hold_replicas(instant now)
+{
+    phase_ = phase::holding;
+    phase_since_ = now;
+    if (!forced_)
+        prefer_target();
+    if (!forced_ && target_.empty())
+        return give_up("no replica stays");
+    actions out;
+    for (member_state* one : replicas())
+    {
+        if (one->who_.id_ == target_)
+            continue;
+        one->asked_ = now;
+        out.push_back({kind::hold, one->who_.id_, hold_term_});
+    }
+    if (out.empty())
+        return check_held(now);
+    return out;
+}
+
+void takeover::prefer_target()
+{
+    // One that stays is preferred to one that is further, since it still
+    // receives what it lacks; one that was ordered before goes first.
+    for (member_state* one : replicas())
+    {
+        bool ordered = one->who_.id_ == ordered_before_;
+        if (!one->answered_ || (one->who_.leaving_ && !ordered))
+            continue;
+        if (target_.empty() || ordered ||
+            (target_ != ordered_before_ &&
+             one->status_.received_ > find(target_)->status_.received_))
+            target_ = one->who_.id_;
+    }
+}
+
+takeover::actions takeover::check_held(instant now)
+{
+    for (const member_state* one : replicas())
+    {
+        if (one->who_.id_ != target_ && !one->held_)
+            return {};
+    }
+    if (forced_)
+        return choose_furthest(now);
+    phase_ = phase::catching_up;
+    phase_since_ = now;
+    find(target_)->asked_ = now;
+    return {{kind::ask_status, target_}};
+}
+
+takeover::actions takeover::choose_furthest(instant)
+{
+    member_state* best = choose_target(true);
+    if (best == nullptr)
+        return give_up("no replica is left");
+    target_ = best->who_.id_;
+    return record();
+}
+
+takeover::actions takeover::check_caught_up(instant)
+{
+    const member_state* target = find(target_);
+    for (const member_state* one : replicas())
+    {
+        if (one->status_.received_ > target->status_.received_)
+            return {}; // asked again by `tick`
+    }
+    return record();
+}
+
+takeover::actions takeover::record()
+{
+    bool may_be_under_way = ordered_before_ && *ordered_before_ != target_;
+    if (may_be_under_way)
+        return give_up("an order for another endpoint may be under way");
+    phase_ = phase::recording;
+    return {{kind::record_target, target_}};
+}
+
+takeover::actions takeover::on_recorded(bool recorded, instant now)
+{
+    if (phase_ != phase::recording)
+        return {};
+    if (!recorded)
+        return give_up("the claim was lost");
+    if (lease_over(now))
+        return give_up("the lease is over");
+    phase_ = phase::ordering;
+    phase_since_ = now;
+    ordered_at_ = now;
+    order_out_ = true;
+    return {{kind::order, target_}};
+}
+
+takeover::actions takeover::on_ordered(order_outcome outcome, instant now)
+{
+    if (phase_ != phase::ordering)
+        return {};
+    order_out_ = false;
+    ordered_at_ = now;
+    if (outcome == order_outcome::done)
+        return finish(target_, "ordered");
+    if (outcome == order_outcome::refused)
+        return give_up("the order was refused");
+    if (outcome == order_outcome::unknown)
+    {
+        outcome_unknown_ = true;
+        return {{kind::ask_status, target_}};
+    }
+    return {};
+}
+
+takeover::actions takeover::tick(instant now)
+{
+    if (finished())
+        return {};
+    if (lease_over(now))
+        return give_up("the lease is over");
+    actions out;
+    if (phase_ == phase::inspecting)
+        return judge_inspection(now);
+    if (phase_ == phase::comparing)
+    {
+        for (member_state* one : replicas())
+        {
+            if (one->asked_ != never ||
+                now - phase_since_ < options_.receive_ms_)
+                continue;
+            one->asked_ = now;
+            out.push_back({kind::ask_status, one->who_.id_});
+        }
+        if (out.empty())
+            return judge_comparison(now);
+    }
+    if (phase_ == phase::holding)
+    {
+        for (member_state* one : replicas())
+        {
+            bool open = one->who_.id_ != target_ && !one->held_;
+            if (!open || now - one->asked_ < options_.repeat_ms_)
+                continue;
+            one->asked_ = now;
+            out.push_back({kind::hold, one->who_.id_, hold_term_});
+        }
+    }
+    member_state* target = find(target_);
+    if (phase_ == phase::catching_up &&
+        now - target->asked_ >= options_.catch_up_poll_ms_)
+    {
+        target->asked_ = now;
+        out.push_back({kind::ask_status, target_});
+    }
+    if (phase_ == phase::ordering && !order_out_ &&
+        now - ordered_at_ >= options_.order_repeat_ms_)
+    {
+        ordered_at_ = now;
+        order_out_ = true;
+        out.push_back({kind::order, target_});
+    }
+    return out;
+}
+
+takeover::actions takeover::give_up(std::string why)
+{
+    actions out;
+    bool under_way = outcome_unknown_ || order_out_ || ordered_before_;
+    for (member_state* one : replicas())
+    {
+        if (under_way)
+            break;
+        // A hold without an answer may have been carried out all the same.
+        bool may_be_held =
+            phase_ != phase::inspecting && one->who_.id_ != target_;
+        may_be_held =
+            may_be_held || one->held_ || one->status_.paused_by_term_ != 0;
+        if (may_be_held)
+            out.push_back({kind::release, one->who_.id_, hold_term_});
+    }
+    phase_ = phase::finished;
+    out.push_back({kind::finish, "", 0, std::move(why)});
+    return out;
+}
+
+takeover::actions takeover::finish(std::string leader, std::string why)
+{
+    phase_ = phase::finished;
+    return {{kind::finish, std::move(leader), 0, std::move(why)}};
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/coordination/takeover_trigger.cc
@@ -0,0 +1,80 @@
+#include "coordination/takeover_trigger.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+void follow(instant& since, bool holds, instant now)
+{
+    if (!holds)
+        since = never;
+    else if (since == never)
+        since = now;
+}
+
+bool lasted(instant since, std::int64_t span_ms, instant now)
+{
+    return since != never && now - since >= span_ms;
+}
+
+} // namespace
+
+void takeover_trigger::on_health(const primary_health& health, instant now)
+{
+    if (health.endpoint_id_ != health_.endpoint_id_)
+        unreachable_since_ = leaving_since_ = unlisted_since_ = never;
+    health_ = health;
+    follow(unreachable_since_, health.unreachable_, now);
+    follow(leaving_since_, health.leaving_, now);
+    follow(unlisted_since_, !health.listed_, now);
+}
+
+void takeover_trigger::on_row(const takeover_row& row, instant now)
+{
+    row_ = row;
+    row_changed_ = now;
+}
+
+std::optional<takeover_reason>
+takeover_trigger::suspicion(std::int64_t delay_ms, instant now) const
+{
+    if (lasted(leaving_since_, delay_ms, now))
+        return takeover_reason::leaving;
+    if (lasted(unlisted_since_, options_.no_primary_ms_ + delay_ms, now))
+        return health_.endpoint_id_.empty() ? takeover_reason::no_primary
+                                            : takeover_reason::leaving;
+    if (lasted(unreachable_since_, options_.refused_ms_ + delay_ms, now) ||
+        lasted(health_.unanswered_since_, options_.silent_ms_ + delay_ms, now))
+        return takeover_reason::silent;
+    if (lasted(health_.write_unanswered_since_, options_.stuck_ms_ + delay_ms,
+               now))
+        return takeover_reason::stuck;
+    return std::nullopt;
+}
+
+std::optional<takeover_reason> takeover_trigger::check(std::int64_t rank,
+                                                       instant now) const
+{
+    std::int64_t delay = rank * options_.rank_step_ms_;
+    bool open = row_.stage_ == "claimed" || row_.stage_ == "ordered";
+    if (open)
+    {
+        if (lasted(row_changed_, options_.abandoned_ms_ + delay, now))
+            return takeover_reason::unfinished;
+        return std::nullopt;
+    }
+    if (row_changed_ != never && now - row_changed_ < options_.settle_ms_)
+        return std::nullopt;
+    return suspicion(delay, now);
+}
+
+bool takeover_trigger::suspicious() const
+{
+    return unreachable_since_ != never || leaving_since_ != never ||
+           unlisted_since_ != never || health_.unanswered_since_ != never ||
+           health_.write_unanswered_since_ != never ||
+           row_.stage_ == "claimed" || row_.stage_ == "ordered";
+}
+
+} // namespace tanagerspan
--- a/daemons/tanager_edge_main.cc
+++ b/daemons/tanager_edge_main.cc
@@ -44,6 +44,7 @@
     explicit process(platform::process_settings given)
         : settings_(std::move(given)),
           store_(control_, *parse_endpoint(settings_.store_address_)),
+          gate_(control_, *parse_endpoint(settings_.promotion_address_)),
           front_(traffic_, {.codec_ = &codec_,
                             .host_name_ = settings_.host_name_,
                             .data_centre_ = settings_.data_centre_,
@@ -53,8 +54,17 @@
                   {
                       return answer_probe(target);
                   }),
-          fleet_(control_, store_, control_options(), control_outputs())
+          fleet_(control_, store_, gate_, control_options(), control_outputs())
     {
+        front_.on_health_ =
+            [this](const std::string& service, const primary_health& health)
+        {
+            boost::asio::post(control_,
+                              [this, service, health]
+                              {
+                                  fleet_.on_health(service, health);
+                              });
+        };
     }
 
     fleet_control::options control_options() const
@@ -65,7 +75,8 @@
                             .settings_key_ = "config",
                             .endpoints_table_ = "servers",
                             .routes_ = platform::parse_route_table,
-                            .endpoint_ = platform::parse_endpoint_entry}};
+                            .endpoint_ = platform::parse_endpoint_entry},
+                .codec_ = &codec_};
     }
 
     fleet_control::outputs control_outputs()
@@ -177,6 +188,7 @@
     boost::asio::io_context control_{one_thread};
     boost::asio::io_context traffic_{one_thread};
     platform::store_client store_;
+    platform::promotion_client gate_;
     traffic_front front_;
     http_responder probes_;
     fleet_control fleet_;
--- a/node/caller_session.cc
+++ b/node/caller_session.cc
@@ -356,9 +356,10 @@
 {
     if (std::exchange(over_, true))
         return;
+    // A statement at work has the transaction's connection and ends it.
     if (auto running = std::exchange(run_, nullptr))
         running->abandon();
-    if (open_)
+    else if (open_)
         group_->roll_back(open_->link_, monotonic_now());
     open_.reset();
     // What was sent still reaches the caller before the end.
--- a/node/endpoint_group.cc
+++ b/node/endpoint_group.cc
@@ -26,6 +26,12 @@
 constexpr double least_lag_ms = 20;
 constexpr double most_lag_ms = 4000;
 
+void earlier_of(instant& so_far, instant other)
+{
+    if (other != never && (so_far == never || other < so_far))
+        so_far = other;
+}
+
 } // namespace
 
 endpoint_group::endpoint_group(boost::asio::io_context& loop, options opts)
@@ -193,6 +199,7 @@
     auto link =
         std::make_shared<endpoint_link>(loop_, options_.link_, at.entry_);
     link->idle_since_ = monotonic_now();
+    at.all_.push_back(link.get());
     // Not before `open` returns; a late set-up is ended by its own limit.
     limited_.push_back({link, monotonic_now() + options_.open_ms_});
     link->open(
@@ -210,9 +217,11 @@
     if (at == nullptr)
         return link->close({error_code::leaving, "no longer listed"});
     --at->opening_;
+    std::erase(at->all_, link.get());
     if (first && !first->error_)
     {
         ++at->links_;
+        at->all_.push_back(link.get());
         at->unreachable_ = false;
         at->last_answer_ = now;
         link->on_reply_ = [this, raw = link.get()](const reply& got)
@@ -220,7 +229,8 @@
             if (endpoint_state* state = state_of(*raw))
             {
                 state->last_answer_ = monotonic_now();
-                state->unanswered_since_ = never;
+                if (std::exchange(raw->awaits_write_, false))
+                    state->first_unanswered_write_ = never;
                 if (got.position_)
                     state->known_ = std::max(state->known_, *got.position_);
             }
@@ -230,6 +240,7 @@
             if (endpoint_state* state = state_of(*raw))
             {
                 --state->links_;
+                std::erase(state->all_, raw);
                 std::erase_if(state->idle_,
                               [raw](const link_ptr& one)
                               {
@@ -347,6 +358,10 @@
 
 void endpoint_group::give_back(const link_ptr& link, bool usable, instant now)
 {
+    // A connection in a transaction is never lent to other work.
+    bool clean = link->state() == transaction_state::idle;
+    if (usable && link->is_open() && !clean)
+        return roll_back(link, now);
     endpoint_state* at = state_of(*link);
     if (at != nullptr)
         --at->running_;
@@ -385,11 +400,15 @@
     link->flush();
 }
 
-void endpoint_group::on_asked(const link_ptr& link, instant now)
+void endpoint_group::on_write_asked(const link_ptr& link, instant now)
 {
+    link->awaits_write_ = true;
     endpoint_state* at = state_of(*link);
-    if (at != nullptr && at->unanswered_since_ == never)
-        at->unanswered_since_ = now;
+    if (at == nullptr)
+        return;
+    at->last_write_asked_ = now;
+    if (at->first_unanswered_write_ == never)
+        at->first_unanswered_write_ = now;
 }
 
 void endpoint_group::on_answered(const link_ptr& link, instant asked,
@@ -505,13 +524,22 @@
     }
     if (best == nullptr)
         return out;
-    out.claimed_ = best->listed_;
     out.endpoint_id_ = best->entry_.id_;
-    out.address_ = best->entry_.address_;
+    out.listed_ = best->listed_;
     out.leaving_ = best->entry_.leaving_;
     out.unreachable_ = best->unreachable_;
     out.last_answer_ = best->last_answer_;
-    out.unanswered_since_ = best->unanswered_since_;
+    for (const endpoint_link* link : best->all_)
+    {
+        earlier_of(out.unanswered_since_, link->awaiting_since());
+    }
+    if (out.unanswered_since_ != never)
+        out.unanswered_since_ =
+            std::max(out.unanswered_since_, best->last_answer_);
+    // Writes that timed out count as long as others still try.
+    constexpr std::int64_t recent_ms = 2000;
+    if (monotonic_now() - best->last_write_asked_ < recent_ms)
+        out.write_unanswered_since_ = best->first_unanswered_write_;
     return out;
 }
 
--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -29,6 +29,7 @@
 #include "coordination/endpoint_choice.h"
 #include "coordination/freshness_marks.h"
 #include "coordination/retry_budget.h"
+#include "coordination/takeover_trigger.h"
 #include "node/endpoint_link.h"
 #include "state/service_catalogue.h"
 
@@ -52,18 +53,6 @@
     std::int64_t row_version_ = 0;
 };
 
-/// What the group has seen of its primary, for the failure detector.
-struct primary_health
-{
-    std::string endpoint_id_;
-    std::string address_;
-    bool claimed_ = false; ///< an endpoint of the list leads
-    bool leaving_ = false;
-    bool unreachable_ = false; ///< connections end or are refused
-    instant last_answer_ = never;
-    instant unanswered_since_ = never; ///< `never`: nothing is outstanding
-};
-
 class endpoint_group
 {
 public:
@@ -113,13 +102,14 @@
     /// Ends the ownership of a link in a transaction, which is rolled back.
     void roll_back(const link_ptr& link, instant now);
 
+    /// A write or a commit went out.
+    void on_write_asked(const link_ptr& link, instant now);
     void on_answered(const link_ptr& link, instant asked, instant now,
                      const reply& got);
     /// `behind_ms`: how long the position it lacked had been known here.
     void on_lagging(const link_ptr& link, std::int64_t behind_ms);
     void on_not_primary(const link_ptr& link, instant now);
     void on_failed(const link_ptr& link, instant now);
-    void on_asked(const link_ptr& link, instant now);
 
     /// Housekeeping, called every few ten milliseconds.
     void tick(instant now);
@@ -157,8 +147,10 @@
         instant not_primary_until_ = never;
         double lag_ms_ = first_lag_ms;
         instant last_answer_ = never;
-        instant unanswered_since_ = never;
+        instant first_unanswered_write_ = never;
+        instant last_write_asked_ = never;
         bool unreachable_ = false;
+        std::vector<endpoint_link*> all_; ///< open and opening ones
         log_position known_;
     };
     struct waiting_work
--- a/node/endpoint_link.cc
+++ b/node/endpoint_link.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "transport/monotonic_clock.h"
+
 namespace tanagerspan
 {
 
@@ -23,6 +25,7 @@
     if (!peer)
         return done(tl::unexpected(peer.error()));
     awaited_.push_back(std::move(done));
+    awaiting_since_ = monotonic_now();
     options_.codec_->put_open(output_, endpoint_.service_, options_.user_,
                               endpoint_.id_);
     stream_ = std::make_shared<byte_stream>(tcp_socket(loop_));
@@ -62,6 +65,8 @@
 {
     if (!is_open())
         return close({error_code::lost, "closed before"});
+    if (awaiting_since_ == never)
+        awaiting_since_ = monotonic_now();
     stream_->send(output_);
     output_.clear();
 }
@@ -80,7 +85,9 @@
             return close({error_code::malformed, "reply to nothing"});
         auto done = std::move(awaited_.front());
         awaited_.pop_front();
+        awaiting_since_ = awaited_.empty() ? never : monotonic_now();
         opened_ = true;
+        state_ = (*got)->state_;
         if (on_reply_)
             on_reply_(**got);
         done(std::move(**got));
--- a/node/endpoint_link.h
+++ b/node/endpoint_link.h
@@ -61,10 +61,26 @@
     {
         return stream_ && stream_->is_open();
     }
+    /// Open, and the endpoint accepted the session.
+    bool is_ready() const
+    {
+        return opened_ && is_open();
+    }
     bool awaits_reply() const
     {
         return !awaited_.empty();
     }
+    /// Since when a reply is awaited without one having come; `never`: none.
+    instant awaiting_since() const
+    {
+        return awaiting_since_;
+    }
+
+    /// What the endpoint's last reply said of the connection.
+    transaction_state state() const
+    {
+        return state_;
+    }
 
     const endpoint_entry& endpoint() const
     {
@@ -73,6 +89,7 @@
 
     connection_values values_; ///< what the connection holds
     instant idle_since_ = never;
+    bool awaits_write_ = false;                  ///< of a write or a commit
     std::function<void(const reply&)> on_reply_; ///< sees every reply
     std::function<void()> on_close_;
 
@@ -86,6 +103,8 @@
     std::deque<reply_handler> awaited_;
     reply partial_;
     std::string output_;
+    instant awaiting_since_ = never;
+    transaction_state state_ = transaction_state::idle;
     bool opened_ = false; ///< the endpoint answered once
 };
 
--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -23,7 +23,7 @@
 } // namespace
 
 fleet_control::fleet_control(boost::asio::io_context& loop, table_store& store,
-                             options opts, outputs to)
+                             promotion_gate& gate, options opts, outputs to)
     : loop_(loop), store_(store), options_(std::move(opts)),
       outputs_(std::move(to)),
       settings_(loop, store,
@@ -48,6 +48,15 @@
                   {
                       on_promotions(current);
                   }),
+      takeovers_(loop, store, gate,
+                 {.host_name_ = options_.host_name_,
+                  .table_ = promotions_table,
+                  .codec_ = options_.codec_},
+                 [this](const std::string& service, const std::string& leader,
+                        std::int64_t version)
+                 {
+                     outputs_.promoted_(service, leader, version);
+                 }),
       register_timer_(loop), expiry_timer_(loop)
 {
 }
@@ -84,6 +93,12 @@
                     });
 }
 
+void fleet_control::on_health(const std::string& service,
+                              const primary_health& health)
+{
+    takeovers_.on_health(service, health);
+}
+
 void fleet_control::leave(std::function<void()> done)
 {
     leaving_ = true;
@@ -154,6 +169,7 @@
                   });
     for (const auto& [id, entry] : known_)
         list->push_back(entry);
+    takeovers_.set_endpoints(*list);
     outputs_.endpoints_(std::move(list), proxies_);
     if (!missing_since_.empty())
         schedule_expiry();
@@ -174,13 +190,17 @@
 void fleet_control::on_hosts(const rows& current)
 {
     proxies_ = std::max<std::size_t>(current.size(), 1);
+    std::vector<std::string> names;
+    for (const auto& [name, row] : current)
+        names.push_back(name);
+    takeovers_.set_hosts(std::move(names));
     publish_endpoints();
 }
 
 void fleet_control::on_promotions(const rows& current)
 {
     for (const auto& [service, row] : current)
-        outputs_.promoted_(service, row.value_, row.version_);
+        takeovers_.on_row(service, row);
 }
 
 } // namespace tanagerspan
--- a/node/fleet_control.h
+++ b/node/fleet_control.h
@@ -20,6 +20,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "node/table_feed.h"
+#include "node/takeover_driver.h"
 #include "protocol/table_store.h"
 #include "state/service_catalogue.h"
 
@@ -49,6 +50,7 @@
         /// An endpoint whose entry went away is kept this long: entries lapse
         /// while the store is away and are back within about two seconds.
         std::int64_t keep_missing_ms_ = 2500;
+        const session_codec* codec_ = nullptr;
         std::uint64_t seed_ = 1;
     };
     struct outputs
@@ -62,10 +64,12 @@
     };
 
     fleet_control(boost::asio::io_context& loop, table_store& store,
-                  options opts, outputs to);
+                  promotion_gate& gate, options opts, outputs to);
 
     void start();
 
+    void on_health(const std::string& service, const primary_health& health);
+
     /// Takes this host out of the list of live ones; `done` when it is out or
     /// the store did not answer.
     void leave(std::function<void()> done);
@@ -93,6 +97,7 @@
     table_feed endpoints_;
     table_feed hosts_;
     table_feed promotions_;
+    takeover_driver takeovers_;
     boost::asio::steady_timer register_timer_;
     boost::asio::steady_timer expiry_timer_;
     std::int64_t routes_version_ = 0;
--- a/node/statement_run.cc
+++ b/node/statement_run.cc
@@ -221,7 +221,6 @@
         {
             self->on_begin(link, got);
         });
-    group_->on_asked(link_, asked_);
     link_->flush();
 }
 
@@ -260,7 +259,8 @@
         {
             self->on_statement(link, got);
         });
-    group_->on_asked(link_, asked_);
+    if (step() == attempt_step::lone_write || step() == attempt_step::commit)
+        group_->on_write_asked(link_, asked_);
     link_->flush();
 }
 
--- a/node/traffic_front.cc
+++ b/node/traffic_front.cc
@@ -16,6 +16,9 @@
 // just added, or whose predecessor's connections linger, finds some.
 constexpr std::size_t connection_reserve = 2;
 
+// Below half of the shortest silence that a takeover looks at.
+constexpr std::int64_t worth_reporting_ms = 300;
+
 } // namespace
 
 traffic_front::traffic_front(boost::asio::io_context& loop, options opts)
@@ -112,6 +115,7 @@
                   });
     for (auto& [name, group] : groups_)
         group->tick(now);
+    report_health(now);
     if (drained_)
         tick_drain(now);
 }
@@ -228,12 +232,31 @@
         group->set_promotion(std::move(record));
 }
 
-std::map<std::string, primary_health> traffic_front::health() const
+void traffic_front::report_health(instant now)
 {
-    std::map<std::string, primary_health> out;
+    if (!on_health_)
+        return;
     for (const auto& [name, group] : groups_)
-        out[name] = group->health();
-    return out;
+    {
+        primary_health health = group->health();
+        // Short waits are the rule and not worth a word to the control side.
+        for (instant* since :
+             {&health.unanswered_since_, &health.write_unanswered_since_})
+        {
+            if (*since != never && now - *since < worth_reporting_ms)
+                *since = never;
+        }
+        bool quiet = health.unanswered_since_ == never &&
+                     health.write_unanswered_since_ == never &&
+                     !health.unreachable_;
+        if (quiet)
+            health.last_answer_ = never;
+        auto& reported = reported_[name];
+        if (reported == health)
+            continue;
+        reported = health;
+        on_health_(name, health);
+    }
 }
 
 std::string traffic_front::metrics() const
--- a/node/traffic_front.h
+++ b/node/traffic_front.h
@@ -57,7 +57,9 @@
     {
         return routes_ != nullptr;
     }
-    std::map<std::string, primary_health> health() const;
+    /// Called when what is known of a service's primary changes in a way that
+    /// matters for a takeover.
+    std::function<void(const std::string&, const primary_health&)> on_health_;
     std::string metrics() const;
 
 private:
@@ -65,6 +67,7 @@
     void schedule_tick();
     void tick();
     void tick_drain(instant now);
+    void report_health(instant now);
     std::shared_ptr<endpoint_group> group_of(const std::string& service);
     void apply_endpoints();
     std::size_t share_of(const std::string& service) const;
@@ -78,6 +81,7 @@
     std::list<std::shared_ptr<caller_session>> sessions_;
     std::map<std::string, std::shared_ptr<endpoint_group>> groups_;
     std::map<std::string, promotion_record> promotions_;
+    std::map<std::string, primary_health> reported_;
     route_table_ptr routes_;
     endpoint_list_ptr endpoints_;
     std::size_t proxies_ = 1;
