A transaction whose connection closed is over; shares are strict; leaving replicas rest

Ruled out: values replayed inside a transaction; connections given back twice. Change: such a statement is judged as inside; leaving replicas get reads only when all leave, and none after 6 s; connections beyond the share stop for 10 s once a member was full; a takeover knows a busy member from a dead one.

--- a/coordination/endpoint_choice.cc
+++ b/coordination/endpoint_choice.cc
@@ -56,22 +56,20 @@
                 const std::optional<position_need>& need,
                 std::span<const std::size_t> excluded, instant now)
 {
-    // Passes over the endpoints, each less choosy than the one before.
-    struct pass
-    {
-        bool leaving_;
-        bool avoided_;
-    };
-    for (pass allows :
-         {pass{false, false}, pass{true, false}, pass{true, true}})
+    bool all_leave = std::all_of(endpoints.begin(), endpoints.end(),
+                                 [](const endpoint_load& one)
+                                 {
+                                     return one.leaving_;
+                                 });
+    for (bool allow_avoided : {false, true})
     {
         std::optional<std::size_t> best;
         for (std::size_t at = 0; at < endpoints.size(); ++at)
         {
             const endpoint_load& one = endpoints[at];
             bool usable = one.has_room_ && may_hold(one, need, now) &&
-                          (allows.leaving_ || !one.leaving_) &&
-                          (allows.avoided_ || one.avoided_until_ <= now) &&
+                          (all_leave || !one.leaving_) &&
+                          (allow_avoided || one.avoided_until_ <= now) &&
                           std::find(excluded.begin(), excluded.end(), at) ==
                               excluded.end();
             if (usable &&
--- a/coordination/endpoint_choice.h
+++ b/coordination/endpoint_choice.h
@@ -9,7 +9,8 @@
 // counted as busier than it looks from here, because all writes need it.
 // Endpoints that failed lately are used only when no other can be; if all
 // did, they are used all the same, since a wrong suspicion must not refuse
-// work. A replica known to lack the position that a read needs is passed over.
+// work. One that is to leave gets no read while another stays. A replica known
+// to lack the position that a read needs is passed over.
 //
 // Pure: no clock, no I/O. Not thread safe.
 
--- a/coordination/takeover.cc
+++ b/coordination/takeover.cc
@@ -95,6 +95,9 @@
     {
         bool holds = status && status->paused_by_term_ >= hold_term_;
         one->held_ = one->held_ || holds;
+        // Its term was not known when the others were asked.
+        if (status && !holds && status->term_ >= hold_term_)
+            return give_up("a newer term was found");
         return check_held(now);
     }
     if (phase_ == phase::catching_up && id == target_ && status)
@@ -105,6 +108,13 @@
     return {};
 }
 
+takeover::actions takeover::on_refused(const std::string& id, instant now)
+{
+    if (member_state* one = find(id))
+        one->refused_ = true;
+    return on_status(id, std::nullopt, now);
+}
+
 takeover::actions takeover::judge_inspection(instant now)
 {
     bool all = std::all_of(members_.begin(), members_.end(),
@@ -127,8 +137,12 @@
         if (leads)
             return finish(one.who_.id_, "another one leads already");
     }
+    if (newest == 0)
+        return give_up("no endpoint answered");
     hold_term_ = newest + 1;
     member_state* primary = find(primary_id_);
+    if (primary != nullptr && !primary->answered_ && primary->refused_)
+        return give_up("the primary lives, but is too busy to answer");
     bool alive =
         primary != nullptr && primary->answered_ && primary->status_.primary_;
     if (auto ended = end_early(alive))
--- a/coordination/takeover.h
+++ b/coordination/takeover.h
@@ -101,6 +101,8 @@
     std::vector<takeover_action>
     on_status(const std::string& id, std::optional<endpoint_status> status,
               instant now);
+    /// The endpoint lives, but takes no connection or question now.
+    std::vector<takeover_action> on_refused(const std::string& id, instant now);
     std::vector<takeover_action> on_recorded(bool recorded, instant now);
 
     enum class order_outcome
@@ -133,7 +135,8 @@
     {
         takeover_member who_;
         bool answered_ = false;
-        bool failed_ = false; ///< gave no answer to the last question
+        bool failed_ = false;  ///< gave no answer to the last question
+        bool refused_ = false; ///< lives, but is too busy to answer
         bool held_ = false;
         endpoint_status status_{};
         instant asked_ = never;
--- a/node/endpoint_group.cc
+++ b/node/endpoint_group.cc
@@ -16,10 +16,6 @@
 // The mean of answer times follows a change within about this many answers.
 constexpr double answer_weight = 0.15;
 
-// Beyond its share a proxy may hold this many times as much while it has work
-// for it and the endpoint has room; the surplus is closed when idle.
-constexpr std::size_t surplus_factor = 2;
-
 // A belief that a replica lags fades by half in about a second of ticks, and
 // never below the least lag that is worth a question.
 constexpr double lag_fading = 0.97;
@@ -67,6 +63,10 @@
         }
         else if ((*same)->entry_.primary_ != entry.primary_)
             (*same)->not_primary_until_ = never;
+        if (!entry.leaving_)
+            (*same)->leaving_since_ = never;
+        else if ((*same)->leaving_since_ == never)
+            (*same)->leaving_since_ = now;
         (*same)->entry_ = entry;
         (*same)->listed_ = true;
     }
@@ -173,10 +173,17 @@
     return best;
 }
 
+bool endpoint_group::may_work(const endpoint_state& at, instant now) const
+{
+    return at.listed_ && (at.leaving_since_ == never ||
+                          now - at.leaving_since_ < options_.leaving_ms_);
+}
+
 bool endpoint_group::may_open(const endpoint_state& at, instant now) const
 {
-    std::size_t most = share_ * surplus_factor;
-    return at.listed_ && at.full_until_ <= now &&
+    std::size_t most =
+        share_ + (at.no_surplus_until_ <= now ? options_.surplus_ : 0);
+    return may_work(at, now) && at.full_until_ <= now &&
            at.links_ + at.opening_ < most;
 }
 
@@ -254,6 +261,8 @@
     bool full = first && (first->error_ == reply_error::too_many_connections ||
                           first->error_ == reply_error::busy);
     at->full_until_ = now + options_.full_ms_;
+    if (full)
+        at->no_surplus_until_ = now + options_.no_surplus_ms_;
     if (!full)
     {
         at->avoided_until_ = now + options_.avoid_ms_;
@@ -453,8 +462,10 @@
 
 void endpoint_group::close_surplus(endpoint_state& at, instant now)
 {
+    bool contended = at.no_surplus_until_ > now;
     while (at.links_ > share_ && !at.idle_.empty() &&
-           now - at.idle_.front()->idle_since_ > options_.surplus_idle_ms_)
+           (contended ||
+            now - at.idle_.front()->idle_since_ > options_.surplus_idle_ms_))
     {
         link_ptr link = at.idle_.front();
         at.idle_.erase(at.idle_.begin());
--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -72,6 +72,14 @@
         /// Idle connections beyond the share are closed after this, so that
         /// other proxies find room.
         std::int64_t surplus_idle_ms_ = 2000;
+        /// An endpoint that was full gets no more than the share for this
+        /// long: several times what others need to give theirs back.
+        std::int64_t no_surplus_ms_ = 10'000;
+        /// Connections beyond the share, while there is work for them.
+        std::size_t surplus_ = 2;
+        /// No new work goes to an endpoint that has been leaving for this
+        /// long; the installation's bound is longer.
+        std::int64_t leaving_ms_ = 6000;
         /// A connection that is not open by then is given up.
         std::int64_t open_ms_ = 1500;
         /// A connection that does not roll back by then is closed.
@@ -144,6 +152,8 @@
         double answer_ms_ = 0;
         instant avoided_until_ = never;
         instant full_until_ = never;
+        instant no_surplus_until_ = never;
+        instant leaving_since_ = never;
         instant not_primary_until_ = never;
         double lag_ms_ = first_lag_ms;
         instant last_answer_ = never;
@@ -172,6 +182,7 @@
     std::optional<std::size_t> choose(const link_request& wanted,
                                       bool idle_only, instant now) const;
     bool may_open(const endpoint_state& at, instant now) const;
+    bool may_work(const endpoint_state& at, instant now) const;
     void open_link(endpoint_state& at, instant now);
     void on_opened(const link_ptr& link, const result<reply>& first);
     link_ptr take_idle(endpoint_state& at, const session_values* session);
--- a/node/statement_run.cc
+++ b/node/statement_run.cc
@@ -296,8 +296,11 @@
 
 attempt_step statement_run::step() const
 {
+    // A transaction whose connection ended before the statement went out is
+    // over, whichever statement it was: nothing of it is kept.
     if (phase_ == phase::waiting)
-        return attempt_step::connect;
+        return options_.transaction_ ? attempt_step::later_inside
+                                     : attempt_step::connect;
     if (phase_ == phase::beginning)
         return attempt_step::begin;
     if (!in_transaction())
@@ -375,7 +378,7 @@
               {"failure", std::string(name_of(how))},
               {"error", reason},
               {"detail", std::string(detail)},
-              {"asked_ms_ago", link_ ? now - asked_ : 0},
+              {"asked_ms_ago", asked_ == never ? -1 : now - asked_},
               {"age_ms", now - options_.arrived_},
               {"attempt", attempts_},
               {"retry", ruling.verdict_ == attempt_verdict::retry}});
--- a/node/takeover_driver.cc
+++ b/node/takeover_driver.cc
@@ -310,8 +310,12 @@
                   {"received_index", status ? status->received_.index_ : 0},
                   {"held_term", status ? status->paused_by_term_ : 0},
                   {"lag_ms", status ? status->lag_ms_ : 0}});
-        if (at.attempt_)
-            perform(at, at.attempt_->on_status(id, status, monotonic_now()));
+        if (!at.attempt_)
+            return;
+        bool refused = got && got->error_;
+        instant now = monotonic_now();
+        perform(at, refused ? at.attempt_->on_refused(id, now)
+                            : at.attempt_->on_status(id, status, now));
     };
     // A release must not wait for the answer to a hold.
     bool free = to.link_ && to.link_->is_ready() &&
--- a/node/traffic_front.cc
+++ b/node/traffic_front.cc
@@ -12,9 +12,9 @@
 namespace
 {
 
-// Connections of an endpoint that no proxy counts on, so that one that was
-// just added, or whose predecessor's connections linger, finds some.
-constexpr std::size_t connection_reserve = 2;
+// Connections of an endpoint that no proxy counts on: for takeovers, and for a
+// proxy that was just added or whose predecessor's connections linger.
+constexpr std::size_t connection_reserve = 3;
 
 // Below half of the shortest silence that a takeover looks at.
 constexpr std::int64_t worth_reporting_ms = 300;
