--- a/coordination/freshness_marks.cc
+++ b/coordination/freshness_marks.cc
@@ -15,7 +15,7 @@
         return;
     std::size_t count = marks_.size();
     bool crowded =
-        count >= 2 && asked - marks_[count - 2].asked_ < options_.min_gap_ms_;
+        count >= 2 && asked - marks_[count - 2].asked_ <= options_.min_gap_ms_;
     // The newest mark is replaced, never the one before it: the newest always
     // stays as new as it can be.
     if (crowded)
--- /dev/null
+++ b/coordination/routing_test.cc
@@ -0,0 +1,189 @@
+// Tests of how reads find an endpoint that is fresh enough, and of bringing a
+// session onto a connection.
+
+#include "coordination/endpoint_choice.h"
+#include "coordination/freshness_marks.h"
+#include "coordination/session_replay.h"
+#include "testing/check.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+/// A connection as an endpoint keeps it, driven by statements.
+struct kept_connection
+{
+    std::map<std::string, std::string> values_;
+    std::map<std::string, prepared_shape> prepared_;
+
+    void run(const statement& what)
+    {
+        if (what.kind_ == statement_kind::discard)
+        {
+            values_.clear();
+            prepared_.clear();
+        }
+        if (what.kind_ == statement_kind::set_value)
+            values_[what.name_] = what.arguments_;
+        if (what.kind_ == statement_kind::prepare)
+            prepared_[what.name_] = {what.writes_, what.arguments_};
+    }
+};
+
+session_values any_session()
+{
+    session_values out;
+    int values = *rc::gen::inRange(0, 4);
+    for (int i = 0; i < values; ++i)
+        out.values_["v" + std::to_string(*rc::gen::inRange(0, 4))] =
+            std::to_string(*rc::gen::inRange(0, 3));
+    int shapes = *rc::gen::inRange(0, 3);
+    for (int i = 0; i < shapes; ++i)
+        out.prepared_["s" + std::to_string(i)] = {
+            *rc::gen::arbitrary<bool>(),
+            "q" + std::to_string(*rc::gen::inRange(0, 4))};
+    return out;
+}
+
+class routing_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(routing_test);
+    CPPUNIT_TEST(a_mark_covers_what_was_acknowledged_before);
+    CPPUNIT_TEST(marks_are_bounded);
+    CPPUNIT_TEST(a_shared_connection_is_each_sessions_own);
+    CPPUNIT_TEST(the_same_session_replays_nothing);
+    CPPUNIT_TEST(a_leaving_endpoint_gets_no_read_while_another_stays);
+    CPPUNIT_TEST(a_lagging_replica_is_passed_over_until_it_caught_up);
+    CPPUNIT_TEST(suspicion_never_refuses_the_last_endpoint);
+    CPPUNIT_TEST_SUITE_END();
+
+    // A log grows; questions are asked and answered at any later time. Each
+    // mark given for `since` holds all that was acknowledged before it.
+    void a_mark_covers_what_was_acknowledged_before()
+    {
+        CHECK_PROPERTY(
+            "covering",
+            []
+            {
+                freshness_marks marks({});
+                std::map<std::int64_t, std::uint64_t> acknowledged; // by ms
+                std::uint64_t log = 0;
+                std::int64_t now = 0;
+                int steps = *rc::gen::inRange(1, 60);
+                for (int i = 0; i < steps; ++i)
+                {
+                    now += *rc::gen::inRange(1, 30);
+                    if (*rc::gen::arbitrary<bool>())
+                        acknowledged[now] = ++log;
+                    else
+                    {
+                        // The answer may hold more than what was known when
+                        // it was asked for.
+                        std::int64_t asked =
+                            now - *rc::gen::inRange<std::int64_t>(0, 20);
+                        marks.add(instant{asked}, {1, log});
+                    }
+                    std::int64_t since =
+                        now - *rc::gen::inRange<std::int64_t>(0, 200);
+                    auto mark = marks.covering(instant{since});
+                    if (!mark)
+                        continue;
+                    for (const auto& [at, index] : acknowledged)
+                    {
+                        if (at < since)
+                            RC_ASSERT(index <= mark->at_.index_);
+                    }
+                }
+            });
+    }
+
+    void marks_are_bounded()
+    {
+        freshness_marks marks({});
+        for (std::int64_t ms = 0; ms < 100'000; ++ms)
+            marks.add(instant{ms}, {1, std::uint64_t(ms)});
+        CPPUNIT_ASSERT(marks.size() <= 10'000 / 20 + 2);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{99'999}, marks.newest()->ms_);
+    }
+
+    // Regression: values of another session would show in this one.
+    void a_shared_connection_is_each_sessions_own()
+    {
+        CHECK_PROPERTY(
+            "replay",
+            []
+            {
+                kept_connection kept;
+                connection_values believed;
+                int statements = *rc::gen::inRange(1, 30);
+                for (int i = 0; i < statements; ++i)
+                {
+                    session_values session = any_session();
+                    const prepared_shape* shape =
+                        session.prepared_.empty()
+                            ? nullptr
+                            : &session.prepared_.begin()->second;
+                    for (const auto& one : replay_for(session, shape, believed))
+                        kept.run(one);
+                    RC_ASSERT(kept.values_ == session.values_);
+                    if (shape != nullptr)
+                        RC_ASSERT(kept.prepared_.at(
+                                      believed.prepared_.at(*shape)) == *shape);
+                }
+            });
+    }
+
+    void the_same_session_replays_nothing()
+    {
+        CHECK_PROPERTY("twice",
+                       []
+                       {
+                           session_values session = any_session();
+                           connection_values have;
+                           replay_for(session, nullptr, have);
+                           RC_ASSERT(replay_cost(session, have) == 0U);
+                           RC_ASSERT(
+                               replay_for(session, nullptr, have).empty());
+                       });
+    }
+
+    void a_leaving_endpoint_gets_no_read_while_another_stays()
+    {
+        // Regression: the others had no idle connection, and reads went to
+        // the one that was leaving.
+        std::vector<endpoint_load> all{{.leaving_ = true, .has_room_ = true},
+                                       {.has_room_ = false}};
+        CPPUNIT_ASSERT(!choose_for_read(all, std::nullopt, {}, instant{0}));
+        all[1].leaving_ = true;
+        CPPUNIT_ASSERT(choose_for_read(all, std::nullopt, {}, instant{0}) ==
+                       std::size_t{0});
+    }
+
+    void a_lagging_replica_is_passed_over_until_it_caught_up()
+    {
+        std::vector<endpoint_load> all{{.has_room_ = true, .lag_ms_ = 100}};
+        position_need need{{2, 7}, instant{1000}};
+        CPPUNIT_ASSERT(!choose_for_read(all, need, {}, instant{1050}));
+        CPPUNIT_ASSERT(choose_for_read(all, need, {}, instant{1100}));
+        all[0].known_ = {2, 7};
+        CPPUNIT_ASSERT(choose_for_read(all, need, {}, instant{1001}));
+    }
+
+    void suspicion_never_refuses_the_last_endpoint()
+    {
+        std::vector<endpoint_load> all{
+            {.has_room_ = true, .avoided_until_ = instant{500}},
+            {.has_room_ = true, .answer_ms_ = 900}};
+        CPPUNIT_ASSERT(choose_for_read(all, std::nullopt, {}, instant{0}) ==
+                       std::size_t{1});
+        std::array<std::size_t, 1> tried{1};
+        CPPUNIT_ASSERT(choose_for_read(all, std::nullopt, tried, instant{0}) ==
+                       std::size_t{0});
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(routing_test);
+
+} // namespace
+} // namespace tanagerspan
--- /dev/null
+++ b/coordination/takeover_test.cc
@@ -0,0 +1,371 @@
+// Tests of takeovers against a group in memory: whatever is lost, late or
+// dead, no acknowledged change is missing from the promoted log.
+
+#include <algorithm>
+#include <deque>
+
+#include "coordination/takeover.h"
+#include "coordination/takeover_trigger.h"
+#include "testing/check.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+using kind = takeover_action::kind;
+
+/// A group whose changes are acknowledged by one replica's receipt.
+struct group_model
+{
+    struct member
+    {
+        std::string id_;
+        log_position log_{1, 10};
+        bool alive_ = true;
+        bool held_ = false;
+        bool receives_ = true; ///< from the primary
+        std::uint64_t held_term_ = 0;
+    };
+    std::vector<member> members_{{"p"}, {"a"}, {"b"}};
+    std::string leader_ = "p";
+    std::uint64_t term_ = 1;
+    log_position acknowledged_{1, 10};
+
+    member& of(const std::string& id)
+    {
+        return *std::find_if(members_.begin(), members_.end(),
+                             [&](const member& one)
+                             {
+                                 return one.id_ == id;
+                             });
+    }
+
+    /// The leader takes a change; `receiver` gets it if it can.
+    void commit(const std::string& receiver)
+    {
+        member& leader = of(leader_);
+        if (!leader.alive_)
+            return;
+        leader.log_ = {term_, leader.log_.index_ + 1};
+        member& to = of(receiver);
+        bool received =
+            receiver != leader_ && to.alive_ && !to.held_ && to.receives_;
+        if (!received)
+            return;
+        to.log_ = leader.log_;
+        acknowledged_ = leader.log_;
+    }
+
+    std::optional<endpoint_status> status(const std::string& id)
+    {
+        const member& one = of(id);
+        if (!one.alive_)
+            return std::nullopt;
+        return endpoint_status{.primary_ = id == leader_,
+                               .term_ = one.log_.term_,
+                               .received_ = one.log_,
+                               .paused_by_term_ = one.held_term_};
+    }
+
+    void hold(const std::string& id, std::uint64_t term)
+    {
+        member& one = of(id);
+        if (one.alive_ && id != leader_ && term > term_)
+        {
+            one.held_ = true;
+            one.held_term_ = term;
+        }
+    }
+
+    void release(const std::string& id)
+    {
+        of(id).held_ = false;
+        of(id).held_term_ = 0;
+    }
+
+    void promote(const std::string& id)
+    {
+        if (id == leader_ || !of(id).alive_)
+            return;
+        leader_ = id;
+        ++term_;
+        for (auto& one : members_)
+        {
+            one.held_ = false;
+            one.held_term_ = 0;
+            one.log_ = std::min(one.log_, of(id).log_);
+        }
+    }
+};
+
+class takeover_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(takeover_test);
+    CPPUNIT_TEST(a_dead_primary_is_replaced_by_the_furthest_replica);
+    CPPUNIT_TEST(a_replica_that_cannot_be_seen_stops_it);
+    CPPUNIT_TEST(a_primary_that_answers_is_kept);
+    CPPUNIT_TEST(a_primary_that_nobody_hears_is_replaced);
+    CPPUNIT_TEST(a_busy_primary_is_kept);
+    CPPUNIT_TEST(an_order_that_may_travel_is_named_again);
+    CPPUNIT_TEST(nothing_is_released_while_an_order_may_travel);
+    CPPUNIT_TEST(a_paused_holder_orders_nothing);
+    CPPUNIT_TEST(no_acknowledged_change_is_lost);
+    CPPUNIT_TEST(suspicion_needs_time_and_rank);
+    CPPUNIT_TEST_SUITE_END();
+
+    struct run_result
+    {
+        std::optional<std::string> ordered_;
+        std::vector<std::string> released_;
+        std::string why_;
+    };
+
+    /// Plays an attempt; between two actions `step` may change the group.
+    template <class Step>
+    static run_result play(group_model& group, takeover_reason reason,
+                           Step step,
+                           std::optional<std::string> before = std::nullopt)
+    {
+        run_result out;
+        instant now{1000};
+        takeover attempt(
+            {}, reason, group.leader_,
+            {{"p", reason == takeover_reason::leaving}, {"a"}, {"b"}},
+            std::move(before), now);
+        std::deque<takeover_action> todo;
+        auto add = [&todo](const std::vector<takeover_action>& more)
+        {
+            todo.insert(todo.end(), more.begin(), more.end());
+        };
+        add(attempt.start(now));
+        for (int i = 0; i < 2000 && !attempt.finished(); ++i)
+        {
+            step(group);
+            if (todo.empty())
+            {
+                now = now + 10;
+                add(attempt.tick(now));
+                continue;
+            }
+            takeover_action next = todo.front();
+            todo.pop_front();
+            const std::string& id = next.endpoint_id_;
+            if (next.kind_ == kind::hold)
+                group.hold(id, next.term_);
+            if (next.kind_ == kind::hold || next.kind_ == kind::ask_status)
+                add(attempt.on_status(id, group.status(id), now));
+            if (next.kind_ == kind::record_target)
+                add(attempt.on_recorded(true, now));
+            if (next.kind_ == kind::order)
+            {
+                out.ordered_ = id;
+                step(group);
+                group.promote(id);
+                add(attempt.on_ordered(takeover::order_outcome::done, now));
+            }
+        }
+        for (const auto& left : todo)
+        {
+            if (left.kind_ == kind::release)
+            {
+                out.released_.push_back(left.endpoint_id_);
+                group.release(left.endpoint_id_);
+            }
+            if (left.kind_ == kind::finish)
+                out.why_ = left.detail_;
+        }
+        return out;
+    }
+
+    static void quiet(group_model&)
+    {
+    }
+
+    void a_dead_primary_is_replaced_by_the_furthest_replica()
+    {
+        group_model group;
+        group.commit("b");
+        group.of("p").alive_ = false;
+        auto got = play(group, takeover_reason::silent, quiet);
+        CPPUNIT_ASSERT(got.ordered_ == "b");
+    }
+
+    void a_replica_that_cannot_be_seen_stops_it()
+    {
+        group_model group;
+        group.commit("b");
+        group.of("p").alive_ = false;
+        group.of("b").alive_ = false;
+        auto got = play(group, takeover_reason::silent, quiet);
+        CPPUNIT_ASSERT(!got.ordered_);
+        CPPUNIT_ASSERT(!group.of("a").held_);
+    }
+
+    void a_primary_that_answers_is_kept()
+    {
+        for (auto reason : {takeover_reason::silent, takeover_reason::stuck,
+                            takeover_reason::unfinished})
+        {
+            group_model group;
+            auto got = play(group, reason,
+                            [](group_model& at)
+                            {
+                                at.commit("a");
+                            });
+            CPPUNIT_ASSERT(!got.ordered_);
+            CPPUNIT_ASSERT_EQUAL(std::string("p"), group.leader_);
+        }
+    }
+
+    // Regression: a primary cut off from its replicas was kept for seconds,
+    // because it answered.
+    void a_primary_that_nobody_hears_is_replaced()
+    {
+        for (auto reason : {takeover_reason::silent, takeover_reason::stuck})
+        {
+            group_model group;
+            group.of("a").receives_ = group.of("b").receives_ = false;
+            group.commit("a");
+            auto got = play(group, reason, quiet);
+            CPPUNIT_ASSERT(got.ordered_.has_value());
+        }
+    }
+
+    // Regression: members with no connection left were taken for dead, and
+    // held in a term that was too low.
+    void a_busy_primary_is_kept()
+    {
+        takeover attempt({}, takeover_reason::stuck, "p", {{"p"}, {"a"}, {"b"}},
+                         std::nullopt, instant{0});
+        attempt.start(instant{0});
+        attempt.on_refused("p", instant{5});
+        endpoint_status replica{.term_ = 3, .received_ = {3, 5}};
+        attempt.on_status("a", replica, instant{5});
+        attempt.on_status("b", replica, instant{5});
+        CPPUNIT_ASSERT(attempt.finished());
+    }
+
+    void an_order_that_may_travel_is_named_again()
+    {
+        group_model group;
+        group.of("p").alive_ = false;
+        auto got = play(group, takeover_reason::unfinished, quiet, "b");
+        CPPUNIT_ASSERT(got.ordered_ == "b");
+        group_model alive;
+        got = play(alive, takeover_reason::unfinished, quiet, "b");
+        CPPUNIT_ASSERT(got.ordered_ == "b");
+        group_model other;
+        other.commit("a");
+        other.of("p").alive_ = false;
+        got = play(other, takeover_reason::unfinished, quiet, "b");
+        CPPUNIT_ASSERT(!got.ordered_);
+    }
+
+    void nothing_is_released_while_an_order_may_travel()
+    {
+        takeover attempt({}, takeover_reason::silent, "p",
+                         {{"p"}, {"a"}, {"b"}}, std::nullopt, instant{0});
+        attempt.start(instant{0});
+        attempt.on_status("p", std::nullopt, instant{1});
+        endpoint_status free{.term_ = 1, .received_ = {1, 5}};
+        endpoint_status held{
+            .term_ = 1, .received_ = {1, 5}, .paused_by_term_ = 2};
+        attempt.on_status("a", free, instant{1});
+        attempt.on_status("b", free, instant{1});
+        attempt.on_status("a", held, instant{2});
+        attempt.on_status("b", held, instant{2});
+        attempt.on_recorded(true, instant{3});
+        attempt.on_ordered(takeover::order_outcome::unknown, instant{4});
+        for (const auto& action : attempt.tick(instant{60'000}))
+            CPPUNIT_ASSERT(action.kind_ == kind::finish);
+        CPPUNIT_ASSERT(attempt.finished());
+    }
+
+    void a_paused_holder_orders_nothing()
+    {
+        takeover attempt({}, takeover_reason::silent, "p",
+                         {{"p"}, {"a"}, {"b"}}, std::nullopt, instant{0});
+        attempt.start(instant{0});
+        attempt.on_status("p", std::nullopt, instant{1});
+        endpoint_status free{.term_ = 1, .received_ = {1, 5}};
+        endpoint_status held{
+            .term_ = 1, .received_ = {1, 5}, .paused_by_term_ = 2};
+        attempt.on_status("a", free, instant{1});
+        attempt.on_status("b", free, instant{1});
+        attempt.on_status("a", held, instant{2});
+        attempt.on_status("b", held, instant{2});
+        for (const auto& action : attempt.on_recorded(true, instant{9000}))
+            CPPUNIT_ASSERT(action.kind_ != kind::order);
+        CPPUNIT_ASSERT(attempt.finished());
+    }
+
+    void no_acknowledged_change_is_lost()
+    {
+        CHECK_PROPERTY(
+            "promoted log",
+            []
+            {
+                group_model group;
+                auto reason = *rc::gen::element(
+                    takeover_reason::leaving, takeover_reason::silent,
+                    takeover_reason::stuck, takeover_reason::unfinished,
+                    takeover_reason::no_primary);
+                if (*rc::gen::arbitrary<bool>())
+                    group.of("a").receives_ = false;
+                auto events = *rc::gen::container<std::vector<int>>(
+                    rc::gen::inRange(0, 12));
+                std::size_t at = 0;
+                bool lost = false;
+                auto got =
+                    play(group, reason,
+                         [&](group_model& now)
+                         {
+                             int event = at < events.size() ? events[at++] : 11;
+                             if (event <= 3)
+                                 now.commit("a");
+                             else if (event <= 7)
+                                 now.commit("b");
+                             else if (event == 8)
+                                 now.of("p").alive_ = false;
+                             else if (event == 9)
+                                 now.of("a").alive_ = !now.of("a").alive_;
+                             else if (event == 10)
+                                 now.of("b").receives_ = !now.of("b").receives_;
+                             lost = lost || now.of(now.leader_).log_ <
+                                                now.acknowledged_;
+                         });
+                RC_ASSERT(!lost);
+                RC_ASSERT(
+                    !(group.of(group.leader_).log_ < group.acknowledged_));
+            });
+    }
+
+    void suspicion_needs_time_and_rank()
+    {
+        takeover_trigger trigger({});
+        primary_health health{
+            .endpoint_id_ = "p", .listed_ = true, .unreachable_ = true};
+        trigger.on_health(health, instant{1000});
+        CPPUNIT_ASSERT(!trigger.check(0, instant{1100}));
+        CPPUNIT_ASSERT(trigger.check(0, instant{1150}) ==
+                       takeover_reason::silent);
+        CPPUNIT_ASSERT(!trigger.check(1, instant{1150}));
+        trigger.on_row({.token_ = 1, .holder_ = "h", .stage_ = "claimed"},
+                       instant{1200});
+        CPPUNIT_ASSERT(!trigger.check(0, instant{3000}));
+        CPPUNIT_ASSERT(trigger.check(0, instant{8700}) ==
+                       takeover_reason::unfinished);
+        health.unreachable_ = false;
+        trigger.on_health(health, instant{9000});
+        trigger.on_row({.token_ = 1, .holder_ = "h", .stage_ = "done"},
+                       instant{9000});
+        CPPUNIT_ASSERT(!trigger.suspicious());
+        CPPUNIT_ASSERT(!trigger.check(0, instant{20'000}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(takeover_test);
+
+} // namespace
+} // namespace tanagerspan
--- a/daemons/tanager_edge_main.cc
+++ b/daemons/tanager_edge_main.cc
@@ -30,8 +30,6 @@
 constexpr int exit_failed = 1;
 constexpr int exit_usage = 2;
 
-constexpr const char* settings_variable = "TANAGERSPAN_BOOT";
-
 // Of the time between SIGTERM and SIGKILL, the part in which open sessions
 // may end; the rest is for the process's own end.
 constexpr double drain_part_of_grace = 0.9;
@@ -71,46 +69,42 @@
     {
         return {.host_name_ = settings_.host_name_,
                 .data_centre_ = settings_.data_centre_,
-                .format_ = {.settings_table_ = "op",
-                            .settings_key_ = "config",
-                            .endpoints_table_ = "servers",
-                            .routes_ = platform::parse_route_table,
-                            .endpoint_ = platform::parse_endpoint_entry},
+                .format_ = platform::catalogue(),
                 .codec_ = &codec_};
     }
 
     fleet_control::outputs control_outputs()
     {
-        return {.routes_ =
-                    [this](route_table_ptr routes)
-                {
-                    boost::asio::post(traffic_,
-                                      [this, routes]
-                                      {
-                                          front_.set_routes(routes);
-                                      });
-                },
-                .endpoints_ =
-                    [this](endpoint_list_ptr endpoints, std::size_t proxies)
-                {
-                    boost::asio::post(traffic_,
-                                      [this, endpoints, proxies]
-                                      {
-                                          front_.set_endpoints(endpoints,
-                                                               proxies);
-                                      });
-                },
-                .promoted_ =
-                    [this](const std::string& service,
-                           const std::string& endpoint, std::int64_t version)
-                {
-                    boost::asio::post(
-                        traffic_,
-                        [this, service, endpoint, version]
-                        {
-                            front_.set_promotion(service, {endpoint, version});
-                        });
-                }};
+        return {
+            .routes_ =
+                [this](const route_table_ptr& routes)
+            {
+                boost::asio::post(traffic_,
+                                  [this, routes]
+                                  {
+                                      front_.set_routes(routes);
+                                  });
+            },
+            .endpoints_ =
+                [this](const endpoint_list_ptr& endpoints, std::size_t proxies)
+            {
+                boost::asio::post(traffic_,
+                                  [this, endpoints, proxies]
+                                  {
+                                      front_.set_endpoints(endpoints, proxies);
+                                  });
+            },
+            .promoted_ =
+                [this](const std::string& service, const std::string& endpoint,
+                       std::int64_t version)
+            {
+                boost::asio::post(
+                    traffic_,
+                    [this, service, endpoint, version]
+                    {
+                        front_.set_promotion(service, {endpoint, version});
+                    });
+            }};
     }
 
     http_reply answer_probe(std::string_view target)
@@ -234,12 +228,12 @@
     cxxopts::Options options("tanager_edge",
                              "A proxy of the tanagerspan fleet, as it runs on "
                              "the users' platform.");
-    options.add_options()("settings",
-                          "settings file; without it, the file that " +
-                              std::string(settings_variable) + " names",
-                          cxxopts::value<std::string>())(
-        "check", "check the settings and exit")("version", "print the version")(
-        "help", "print this help");
+    options.add_options()(
+        "settings",
+        "settings file; without it, the file that " +
+            std::string(platform::settings_variable) + " names",
+        cxxopts::value<std::string>())("check", "check the settings and exit")(
+        "version", "print the version")("help", "print this help");
     try
     {
         auto given = options.parse(argc, argv);
@@ -255,7 +249,7 @@
             std::cout << "tanager_edge " TANAGERSPAN_VERSION "\n";
             return exit_ok;
         }
-        const char* named = std::getenv(settings_variable);
+        const char* named = std::getenv(platform::settings_variable);
         std::string path = given.count("settings") > 0
                                ? given["settings"].as<std::string>()
                                : std::string(named == nullptr ? "" : named);
--- a/node/caller_session.cc
+++ b/node/caller_session.cc
@@ -129,7 +129,7 @@
     return begin_ || open_ ? transaction_state::open : transaction_state::idle;
 }
 
-void caller_session::answer(reply value)
+void caller_session::answer(const reply& value)
 {
     std::string out;
     around_.codec_->put_reply(out, value);
@@ -161,7 +161,7 @@
     if (what.kind_ == statement_kind::rollback && in_transaction())
         return roll_back();
     bool ends_nothing = is_end(what.kind_) && !in_transaction();
-    if (!needs_endpoint(what.kind_) || ends_nothing)
+    if (!needs_endpoint(what.kind_) || ends_nothing || what.after_)
         return refuse(reply_error::malformed, "not possible here");
     run(what);
 }
@@ -310,7 +310,7 @@
     around_.counters_->latencies_.record(route_.service_,
                                          std::string(class_of(route_)),
                                          (last_active_ - arrived) * us_per_ms);
-    answer(std::move(outcome.answer_));
+    answer(outcome.answer_);
     // Messages that arrived meanwhile; from within `take_messages` its own
     // loop goes on.
     if (!taking_)
--- a/node/caller_session.h
+++ b/node/caller_session.h
@@ -91,7 +91,7 @@
                     run_outcome outcome);
     void note_commit(const statement& what, const run_outcome& outcome,
                      bool wrote);
-    void answer(reply value);
+    void answer(const reply& value);
     void answer_done();
     void refuse(reply_error error, std::string_view text);
     transaction_state state() const;
--- a/node/endpoint_group.cc
+++ b/node/endpoint_group.cc
@@ -210,7 +210,8 @@
     // Not before `open` returns; a late set-up is ended by its own limit.
     limited_.push_back({link, monotonic_now() + options_.open_ms_});
     link->open(
-        [this, link, alive = std::weak_ptr<bool>(alive_)](result<reply> first)
+        [this, link,
+         alive = std::weak_ptr<bool>(alive_)](const result<reply>& first)
         {
             if (!alive.expired())
                 on_opened(link, first);
@@ -397,7 +398,7 @@
     if (!link->is_open())
         return give_back(link, false, now);
     limited_.push_back({link, now + options_.roll_back_ms_});
-    link->ask({.kind_ = statement_kind::rollback}, std::nullopt,
+    link->ask({.kind_ = statement_kind::rollback},
               [this, link,
                alive = std::weak_ptr<bool>(alive_)](const result<reply>& got)
               {
--- a/node/endpoint_link.cc
+++ b/node/endpoint_link.cc
@@ -54,11 +54,10 @@
                   });
 }
 
-void endpoint_link::ask(const statement& what,
-                        std::optional<log_position> after, reply_handler done)
+void endpoint_link::ask(const statement& what, reply_handler done)
 {
     awaited_.push_back(std::move(done));
-    options_.codec_->put_statement(output_, what, after);
+    options_.codec_->put_statement(output_, what);
 }
 
 void endpoint_link::flush()
--- a/node/endpoint_link.h
+++ b/node/endpoint_link.h
@@ -8,7 +8,7 @@
 // connection holds, so that any session can be brought onto it. A link that
 // ended is never used again; one that was left in an unknown state is closed.
 //
-//   link->ask(statement, after, [](result<reply> got) {...});
+//   link->ask(statement, [](result<reply> got) {...});
 //   link->flush();   // one write for all that was asked since
 //
 // Traffic thread only.
@@ -48,8 +48,7 @@
     void open(reply_handler done);
 
     /// Queues a statement. Errors: lost, malformed.
-    void ask(const statement& what, std::optional<log_position> after,
-             reply_handler done);
+    void ask(const statement& what, reply_handler done);
 
     /// Sends what was queued.
     void flush();
--- a/node/fleet_control.h
+++ b/node/fleet_control.h
@@ -21,24 +21,13 @@
 
 #include "node/table_feed.h"
 #include "node/takeover_driver.h"
+#include "protocol/catalogue_format.h"
 #include "protocol/table_store.h"
 #include "state/service_catalogue.h"
 
 namespace tanagerspan
 {
 
-/// Where the outside keeps what a proxy follows, and how it reads.
-struct catalogue_format
-{
-    std::string settings_table_;
-    std::string settings_key_;
-    std::string endpoints_table_;
-    std::function<result<route_table>(std::string_view)> routes_;
-    std::function<result<endpoint_entry>(
-        std::string_view id, std::string_view text, std::int64_t row_version)>
-        endpoint_;
-};
-
 class fleet_control
 {
 public:
@@ -89,7 +78,6 @@
     void publish_endpoints();
     void schedule_expiry();
 
-    boost::asio::io_context& loop_;
     table_store& store_;
     options options_;
     outputs outputs_;
--- /dev/null
+++ b/node/session_flow_test.cc
@@ -0,0 +1,585 @@
+// Tests of callers' sessions through the traffic side of a proxy: real sockets
+// on loopback, stand-ins as endpoints, one event loop.
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+
+#include "node/traffic_front.h"
+#include "platform/line_codec.h"
+#include "stand_ins/session_endpoint.h"
+#include "testing/check.h"
+#include "transport/monotonic_clock.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+const platform::line_codec codec;
+
+/// A caller: sends lines, collects replies.
+struct caller
+{
+    std::shared_ptr<byte_stream> stream_;
+    std::vector<reply> replies_;
+    reply partial_;
+    bool refused_ = false;
+    bool ended_ = false;
+    std::uint64_t next_id_ = 1;
+
+    caller(boost::asio::io_context& loop, const std::string& address)
+    {
+        stream_ = std::make_shared<byte_stream>(tcp_socket(loop));
+        stream_->open(*parse_endpoint(address),
+                      {.on_input_ =
+                           [this]
+                       {
+                           take();
+                       },
+                       .on_end_ =
+                           [this](const failure&)
+                       {
+                           ended_ = true;
+                           refused_ = partial_.error_.has_value();
+                       }},
+                      [this](result<void> opened)
+                      {
+                          ended_ = !opened;
+                      });
+    }
+
+    ~caller()
+    {
+        stream_->close();
+    }
+
+    void take()
+    {
+        for (;;)
+        {
+            auto got = codec.take_reply(stream_->input(), partial_);
+            if (!got || !*got)
+                return;
+            replies_.push_back(**got);
+        }
+    }
+
+    void say(std::string_view line)
+    {
+        stream_->send(std::string(line) + "\r\n");
+    }
+
+    void query(std::string_view text)
+    {
+        say("QUERY " + std::to_string(next_id_++) + " " + std::string(text));
+    }
+};
+
+/// A group of three members behind one proxy.
+struct fixture
+{
+    boost::asio::io_context loop_{1};
+    std::vector<std::unique_ptr<session_endpoint>> members_;
+    std::unique_ptr<traffic_front> front_;
+    std::string address_;
+    endpoint_list entries_;
+    std::int64_t row_version_ = 1;
+
+    fixture()
+    {
+        for (const char* id : {"m1", "m2", "m3"})
+        {
+            members_.push_back(std::make_unique<session_endpoint>(
+                loop_,
+                session_endpoint::options{.codec_ = &codec,
+                                          .service_ = "svc",
+                                          .id_ = id,
+                                          .primary_ = members_.empty()}));
+            members_.back()->start();
+            entries_.push_back({.id_ = id,
+                                .service_ = "svc",
+                                .address_ = members_.back()->address(),
+                                .data_centre_ = "a",
+                                .slots_ = 5,
+                                .primary_ = entries_.empty(),
+                                .row_version_ = row_version_++});
+        }
+        boost::asio::ip::tcp::acceptor probe(
+            loop_, {boost::asio::ip::address_v4::loopback(), 0});
+        address_ = "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+        probe.close();
+        front_ = std::make_unique<traffic_front>(
+            loop_, traffic_front::options{.codec_ = &codec,
+                                          .host_name_ = "host",
+                                          .data_centre_ = "a",
+                                          .callers_address_ = address_});
+        CPPUNIT_ASSERT(front_->start().has_value());
+        auto routes = std::make_shared<route_table>();
+        routes->version_ = 1;
+        routes->services_["svc"] = {.max_connections_ = 30};
+        auto add = [&](const char* database, read_rule rule)
+        {
+            routes->by_database_[database] = {.name_ = database,
+                                              .database_ = database,
+                                              .service_ = "svc",
+                                              .rule_ = rule,
+                                              .timeout_ms_ = 400,
+                                              .target_latency_ms_ = 200,
+                                              .max_staleness_ms_ = 1500};
+        };
+        add("strict", read_rule::primary);
+        add("own", read_rule::read_your_writes);
+        add("bounded", read_rule::bounded_staleness);
+        routes->transaction_idle_ms_ = 300;
+        front_->set_routes(routes);
+        publish();
+    }
+
+    void publish()
+    {
+        front_->set_endpoints(std::make_shared<const endpoint_list>(entries_),
+                              3);
+    }
+
+    /// Runs the loop until `done`, two seconds at most.
+    bool until(const std::function<bool()>& done)
+    {
+        instant end = monotonic_now() + 2000;
+        while (!done() && monotonic_now() < end)
+            loop_.run_one_for(std::chrono::milliseconds(5));
+        return done();
+    }
+
+    void run_for(std::int64_t ms)
+    {
+        instant end = monotonic_now() + ms;
+        while (monotonic_now() < end)
+            loop_.run_one_for(std::chrono::milliseconds(5));
+    }
+
+    std::unique_ptr<caller> open(const std::string& database)
+    {
+        auto out = std::make_unique<caller>(loop_, address_);
+        out->say("STARTUP " + database + " user");
+        CPPUNIT_ASSERT(until(
+            [&]
+            {
+                return !out->replies_.empty() || out->ended_;
+            }));
+        return out;
+    }
+
+    /// One statement and its reply.
+    reply ask(caller& from, std::string_view text)
+    {
+        std::size_t before = from.replies_.size();
+        from.query(text);
+        CPPUNIT_ASSERT_MESSAGE(std::string(text),
+                               until(
+                                   [&]
+                                   {
+                                       return from.replies_.size() > before;
+                                   }));
+        return from.replies_.back();
+    }
+
+    session_endpoint& primary()
+    {
+        return *members_.front();
+    }
+};
+
+bool failed_with(const reply& got, reply_error error)
+{
+    return got.error_ == error;
+}
+
+class session_flow_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(session_flow_test);
+    CPPUNIT_TEST(a_session_reads_and_writes);
+    CPPUNIT_TEST(an_unknown_database_is_refused);
+    CPPUNIT_TEST(values_and_prepared_statements_follow_the_session);
+    CPPUNIT_TEST(a_transaction_stays_on_one_connection);
+    CPPUNIT_TEST(a_transaction_whose_connection_ended_is_over);
+    CPPUNIT_TEST(a_begin_is_awaited_before_the_first_statement);
+    CPPUNIT_TEST(a_strict_read_needs_a_begin_that_succeeded);
+    CPPUNIT_TEST(a_write_without_its_answer_is_in_doubt_and_not_repeated);
+    CPPUNIT_TEST(a_refused_write_is_tried_again);
+    CPPUNIT_TEST(a_read_moves_on_when_its_endpoint_dies);
+    CPPUNIT_TEST(an_own_write_is_seen_by_the_next_read);
+    CPPUNIT_TEST(a_late_answer_leaves_no_transaction_behind);
+    CPPUNIT_TEST(a_resting_transaction_is_rolled_back);
+    CPPUNIT_TEST(a_caller_that_leaves_rolls_back);
+    CPPUNIT_TEST(a_failed_transaction_takes_only_its_end);
+    CPPUNIT_TEST(odd_statements_are_refused_and_lose_nothing);
+    CPPUNIT_TEST(a_silent_primary_is_reported);
+    CPPUNIT_TEST(a_drain_cuts_nothing);
+    CPPUNIT_TEST_SUITE_END();
+
+    void a_session_reads_and_writes()
+    {
+        fixture f;
+        for (const char* database : {"strict", "own", "bounded"})
+        {
+            auto user = f.open(database);
+            reply got = f.ask(*user, "READ k1");
+            CPPUNIT_ASSERT(!got.error_);
+            CPPUNIT_ASSERT(got.state_ == transaction_state::idle);
+            CPPUNIT_ASSERT_EQUAL(std::string("row-k1"), got.rows_.at(0));
+            CPPUNIT_ASSERT(!f.ask(*user, "WRITE k1 v").error_);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4},
+                             f.primary().options_.position_.index_);
+    }
+
+    void an_unknown_database_is_refused()
+    {
+        fixture f;
+        auto user = f.open("nowhere");
+        CPPUNIT_ASSERT(user->ended_ && user->refused_);
+    }
+
+    void values_and_prepared_statements_follow_the_session()
+    {
+        fixture f;
+        auto one = f.open("own");
+        auto two = f.open("own");
+        f.ask(*one, "SET tz lima");
+        f.ask(*one, "PREPARE s READ shape1");
+        f.ask(*two, "PREPARE s READ shape2");
+        for (int i = 0; i < 12; ++i)
+        {
+            CPPUNIT_ASSERT(!f.ask(*one, "EXECUTE s a").error_);
+            CPPUNIT_ASSERT(!f.ask(*two, "EXECUTE s b").error_);
+        }
+        std::size_t seen = 0;
+        for (const auto& member : f.members_)
+        {
+            for (const auto& ran : member->ran_)
+            {
+                bool first = ran.what_.arguments_ == "a";
+                ++seen;
+                CPPUNIT_ASSERT_EQUAL(std::string(first ? "shape1" : "shape2"),
+                                     ran.shape_);
+                CPPUNIT_ASSERT_EQUAL(std::size_t(first ? 1 : 0),
+                                     ran.values_.size());
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{24}, seen);
+        CPPUNIT_ASSERT(
+            failed_with(f.ask(*two, "EXECUTE t b"), reply_error::no_statement));
+    }
+
+    void a_transaction_stays_on_one_connection()
+    {
+        fixture f;
+        auto user = f.open("own");
+        CPPUNIT_ASSERT(f.ask(*user, "BEGIN").state_ == transaction_state::open);
+        f.ask(*user, "READ a");
+        f.ask(*user, "WRITE b 1");
+        reply end = f.ask(*user, "COMMIT");
+        CPPUNIT_ASSERT(!end.error_ && end.state_ == transaction_state::idle);
+        const auto& ran = f.primary().ran_;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, ran.size());
+        for (const auto& one : ran)
+        {
+            CPPUNIT_ASSERT_EQUAL(ran[0].transaction_, one.transaction_);
+            CPPUNIT_ASSERT(one.transaction_ != 0);
+        }
+    }
+
+    // Regression: the statement after the connection's end was started anew
+    // and ran outside of the transaction.
+    void a_transaction_whose_connection_ended_is_over()
+    {
+        for (const char* next : {"READ b", "WRITE b 1", "COMMIT"})
+        {
+            fixture f;
+            auto user = f.open("own");
+            f.ask(*user, "BEGIN");
+            f.ask(*user, "READ a");
+            f.primary().close_connections();
+            f.run_for(20);
+            reply got = f.ask(*user, next);
+            CPPUNIT_ASSERT_MESSAGE(next,
+                                   failed_with(got, reply_error::aborted));
+            for (const auto& member : f.members_)
+            {
+                for (const auto& ran : member->ran_)
+                    CPPUNIT_ASSERT(ran.transaction_ != 0);
+            }
+        }
+    }
+
+    void a_begin_is_awaited_before_the_first_statement()
+    {
+        fixture f;
+        auto user = f.open("own");
+        f.primary().options_.primary_ = false; // it lost the lead
+        f.ask(*user, "BEGIN");
+        CPPUNIT_ASSERT(
+            failed_with(f.ask(*user, "WRITE a 1"), reply_error::busy));
+        for (const auto& member : f.members_)
+        {
+            for (const auto& asked : member->asked_)
+                CPPUNIT_ASSERT(asked.kind_ != statement_kind::write);
+        }
+    }
+
+    void a_strict_read_needs_a_begin_that_succeeded()
+    {
+        fixture f;
+        f.primary().options_.primary_ = false;
+        f.members_[1]->options_.primary_ = true;
+        auto user = f.open("strict");
+        CPPUNIT_ASSERT(!f.ask(*user, "READ a").error_);
+        CPPUNIT_ASSERT(f.primary().ran_.empty());
+        CPPUNIT_ASSERT(f.members_[1]->ran_.at(0).transaction_ != 0);
+    }
+
+    void a_write_without_its_answer_is_in_doubt_and_not_repeated()
+    {
+        for (bool closes : {true, false})
+        {
+            fixture f;
+            f.primary().faults_ = [closes](const statement& what)
+            {
+                using fault = session_endpoint::fault;
+                return what.kind_ == statement_kind::write
+                           ? std::optional(
+                                 fault{.silent_ = !closes, .close_ = closes})
+                           : std::nullopt;
+            };
+            auto user = f.open("own");
+            reply got = f.ask(*user, "WRITE a 1");
+            CPPUNIT_ASSERT(failed_with(got, closes ? reply_error::in_doubt
+                                                   : reply_error::timeout));
+            f.run_for(100);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.primary().ran_.size());
+        }
+    }
+
+    void a_refused_write_is_tried_again()
+    {
+        fixture f;
+        int refusals = 2;
+        f.primary().faults_ = [&refusals](const statement& what)
+        {
+            using fault = session_endpoint::fault;
+            bool refuse = what.kind_ == statement_kind::write && refusals-- > 0;
+            return refuse ? std::optional(fault{.error_ = reply_error::busy})
+                          : std::nullopt;
+        };
+        auto user = f.open("own");
+        CPPUNIT_ASSERT(!f.ask(*user, "WRITE a 1").error_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.primary().ran_.size());
+    }
+
+    void a_read_moves_on_when_its_endpoint_dies()
+    {
+        fixture f;
+        auto user = f.open("bounded");
+        f.ask(*user, "READ a");
+        int asked = 0;
+        for (auto& member : f.members_)
+        {
+            member->faults_ = [&asked](const statement& what)
+                -> std::optional<session_endpoint::fault>
+            {
+                if (what.kind_ != statement_kind::read)
+                    return std::nullopt;
+                if (asked++ > 0)
+                    return std::nullopt;
+                return session_endpoint::fault{.close_ = true};
+            };
+        }
+        CPPUNIT_ASSERT(!f.ask(*user, "READ b").error_);
+        CPPUNIT_ASSERT_EQUAL(2, asked);
+    }
+
+    void an_own_write_is_seen_by_the_next_read()
+    {
+        fixture f;
+        auto user = f.open("own");
+        f.ask(*user, "READ a"); // makes a mark
+        f.run_for(50);
+        for (int i = 0; i < 5; ++i)
+        {
+            f.ask(*user, "WRITE a 1");
+            log_position written = f.primary().options_.position_;
+            CPPUNIT_ASSERT(!f.ask(*user, "READ a").error_);
+            for (const auto& member : f.members_)
+            {
+                bool replica_ran =
+                    member.get() != &f.primary() && !member->ran_.empty();
+                CPPUNIT_ASSERT(!replica_ran ||
+                               member->options_.position_ >= written);
+                member->ran_.clear();
+            }
+        }
+    }
+
+    // Regression: a read that was repeated went to the primary inside a begin
+    // of the proxy's own; when the first answer came late, that connection
+    // was lent on with its transaction open.
+    void a_late_answer_leaves_no_transaction_behind()
+    {
+        fixture f;
+        auto user = f.open("bounded");
+        f.ask(*user, "READ a");
+        int reads = 0;
+        for (auto& member : f.members_)
+        {
+            // The first read is answered late, the next one finds a replica
+            // that lags, and the begin that follows takes its time.
+            member->faults_ = [&reads](const statement& what)
+                -> std::optional<session_endpoint::fault>
+            {
+                using fault = session_endpoint::fault;
+                if (what.kind_ == statement_kind::begin)
+                    return fault{.delay_ms_ = 150};
+                if (what.kind_ != statement_kind::read)
+                    return std::nullopt;
+                ++reads;
+                if (reads == 1)
+                    return fault{.delay_ms_ = 250};
+                return fault{.error_ = reply_error::lagging};
+            };
+        }
+        CPPUNIT_ASSERT(!f.ask(*user, "READ slow").error_);
+        CPPUNIT_ASSERT_EQUAL(2, reads);
+        for (auto& member : f.members_)
+            member->faults_ = nullptr;
+        f.run_for(300);
+        std::vector<std::unique_ptr<caller>> writers;
+        for (int i = 0; i < 6; ++i)
+            writers.push_back(f.open("own"));
+        for (auto& one : writers)
+            one->query("WRITE later v");
+        f.run_for(100);
+        for (const auto& ran : f.primary().ran_)
+        {
+            if (ran.what_.kind_ == statement_kind::write)
+                CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, ran.transaction_);
+        }
+    }
+
+    void a_resting_transaction_is_rolled_back()
+    {
+        fixture f;
+        auto user = f.open("own");
+        f.ask(*user, "BEGIN");
+        f.ask(*user, "WRITE a 1");
+        f.run_for(500);
+        CPPUNIT_ASSERT(
+            failed_with(f.ask(*user, "COMMIT"), reply_error::aborted));
+        CPPUNIT_ASSERT(user->replies_.back().state_ == transaction_state::idle);
+        CPPUNIT_ASSERT(f.primary().asked_.back().kind_ ==
+                       statement_kind::rollback);
+    }
+
+    void a_caller_that_leaves_rolls_back()
+    {
+        fixture f;
+        auto user = f.open("own");
+        f.ask(*user, "BEGIN");
+        f.ask(*user, "WRITE a 1");
+        user.reset();
+        CPPUNIT_ASSERT(f.until(
+            [&]
+            {
+                return f.primary().asked_.back().kind_ ==
+                       statement_kind::rollback;
+            }));
+    }
+
+    void a_failed_transaction_takes_only_its_end()
+    {
+        fixture f;
+        auto user = f.open("own");
+        f.ask(*user, "BEGIN");
+        f.ask(*user, "READ a");
+        f.primary().close_connections();
+        f.run_for(20);
+        f.ask(*user, "READ b");
+        CPPUNIT_ASSERT(user->replies_.back().state_ ==
+                       transaction_state::failed);
+        CPPUNIT_ASSERT(
+            failed_with(f.ask(*user, "READ c"), reply_error::malformed));
+        reply end = f.ask(*user, "ROLLBACK");
+        CPPUNIT_ASSERT(!end.error_ && end.state_ == transaction_state::idle);
+        CPPUNIT_ASSERT(!f.ask(*user, "READ d").error_);
+    }
+
+    void odd_statements_are_refused_and_lose_nothing()
+    {
+        fixture f;
+        auto user = f.open("own");
+        for (const char* odd :
+             {"DROP x", "COMMIT", "ROLLBACK", "STATUS", "PAUSE 9", "DISCARD",
+              "RESUME", "AFTERLSN 9.9 READ a", "BEGIN NOW", ""})
+        {
+            reply got = f.ask(*user, odd);
+            CPPUNIT_ASSERT_MESSAGE(odd,
+                                   failed_with(got, reply_error::malformed));
+            CPPUNIT_ASSERT(got.state_ == transaction_state::idle);
+        }
+        CPPUNIT_ASSERT(!f.ask(*user, "READ a").error_);
+    }
+
+    void a_silent_primary_is_reported()
+    {
+        fixture f;
+        std::optional<primary_health> seen;
+        f.front_->on_health_ =
+            [&seen](const std::string&, const primary_health& health)
+        {
+            if (health.unanswered_since_ != never)
+                seen = health;
+        };
+        f.primary().faults_ = [](const statement&)
+        {
+            return std::optional(session_endpoint::fault{.silent_ = true});
+        };
+        auto user = f.open("strict");
+        user->query("READ a");
+        CPPUNIT_ASSERT(f.until(
+            [&]
+            {
+                return seen.has_value();
+            }));
+        CPPUNIT_ASSERT_EQUAL(std::string("m1"), seen->endpoint_id_);
+    }
+
+    void a_drain_cuts_nothing()
+    {
+        fixture f;
+        auto busy = f.open("own");
+        auto idle = f.open("own");
+        f.ask(*busy, "BEGIN");
+        f.ask(*busy, "WRITE a 1");
+        bool drained = false;
+        f.front_->drain(6000,
+                        [&drained]
+                        {
+                            drained = true;
+                        });
+        f.run_for(100);
+        CPPUNIT_ASSERT(!f.ask(*busy, "COMMIT").error_);
+        auto late = f.open("own"); // the balancer has not noticed yet
+        CPPUNIT_ASSERT(!f.ask(*late, "READ a").error_);
+        instant end = monotonic_now() + 4000;
+        while (!drained && monotonic_now() < end)
+            f.loop_.run_one_for(std::chrono::milliseconds(5));
+        CPPUNIT_ASSERT(drained);
+        f.run_for(50);
+        CPPUNIT_ASSERT(idle->ended_ && busy->ended_ && late->ended_);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(session_flow_test);
+
+} // namespace
+} // namespace tanagerspan
--- a/node/statement_run.cc
+++ b/node/statement_run.cc
@@ -190,7 +190,7 @@
     for (const auto& one :
          replay_for(options_.session_->values_, shape, link->values_))
     {
-        link->ask(one, std::nullopt,
+        link->ask(one,
                   [link](const result<reply>& got)
                   {
                       // What the connection holds is not known any more.
@@ -205,18 +205,18 @@
     // A read-only begin is also accepted by a member that lost the lead;
     // only the plain one proves that it leads.
     bool plain = way_ != way::positioned_read;
-    return {.kind_ = plain ? statement_kind::begin
-                           : statement_kind::begin_read_only};
+    statement out{.kind_ = plain ? statement_kind::begin
+                                 : statement_kind::begin_read_only};
+    if (need_)
+        out.after_ = need_->at_;
+    return out;
 }
 
 void statement_run::ask_begin()
 {
     phase_ = phase::beginning;
-    std::optional<log_position> after;
-    if (need_)
-        after = need_->at_;
     link_->ask(
-        begin_statement(), after,
+        begin_statement(),
         [self = shared_from_this(), link = link_](const result<reply>& got)
         {
             self->on_begin(link, got);
@@ -250,11 +250,10 @@
     statement what = options_.what_;
     if (options_.shape_)
         what.name_ = link_->values_.prepared_[*options_.shape_];
-    std::optional<log_position> after;
     if (need_ && !begun_)
-        after = need_->at_;
+        what.after_ = need_->at_;
     link_->ask(
-        what, after,
+        what,
         [self = shared_from_this(), link = link_](const result<reply>& got)
         {
             self->on_statement(link, got);
--- a/node/takeover_driver.cc
+++ b/node/takeover_driver.cc
@@ -189,30 +189,29 @@
         .put_ = {{.table_ = options_.table_,
                   .key_ = at.name_,
                   .value_ = encode(row).dump()}}};
-    store_.transact(change,
-                    [this, &at, row, done = std::move(done),
-                     alive = std::weak_ptr<bool>(alive_)](
-                        const result<transaction_answer>& got)
-                    {
-                        if (alive.expired())
-                            return;
-                        bool applied = got && got->applied_;
-                        if (applied && got->current_.version_ > at.row_version_)
-                        {
-                            at.row_ = row;
-                            at.row_version_ = got->current_.version_;
-                            at.row_seen_ = monotonic_now();
-                            at.trigger_.on_row(row, at.row_seen_);
-                        }
-                        if (!applied)
-                            log_line(log_level::info,
-                                     "takeover_row_not_written",
-                                     {{"service", at.name_},
-                                      {"stage", row.stage_},
-                                      {"reason", got ? "another version stands"
-                                                     : got.error().detail_}});
-                        done(applied);
-                    });
+    store_.transact(
+        change,
+        [&at, row, done = std::move(done), alive = std::weak_ptr<bool>(alive_)](
+            const result<transaction_answer>& got)
+        {
+            if (alive.expired())
+                return;
+            bool applied = got && got->applied_;
+            if (applied && got->current_.version_ > at.row_version_)
+            {
+                at.row_ = row;
+                at.row_version_ = got->current_.version_;
+                at.row_seen_ = monotonic_now();
+                at.trigger_.on_row(row, at.row_seen_);
+            }
+            if (!applied)
+                log_line(log_level::info, "takeover_row_not_written",
+                         {{"service", at.name_},
+                          {"stage", row.stage_},
+                          {"reason", got ? "another version stands"
+                                         : got.error().detail_}});
+            done(applied);
+        });
 }
 
 void takeover_driver::on_claimed(service_state& at, std::int64_t row_version)
@@ -237,7 +236,7 @@
 }
 
 void takeover_driver::perform(service_state& at,
-                              std::vector<takeover_action> actions)
+                              const std::vector<takeover_action>& actions)
 {
     using kind = takeover_action::kind;
     for (const auto& action : actions)
@@ -324,7 +323,7 @@
     if (free)
     {
         to.asked_ = monotonic_now();
-        to.link_->ask(what, std::nullopt, on_answer);
+        to.link_->ask(what, on_answer);
         return to.link_->flush();
     }
     if (to.link_ && to.link_->awaits_reply())
@@ -341,7 +340,7 @@
         {
             if (!opened || opened->error_)
                 return on_answer(opened);
-            link->ask(what, std::nullopt, on_answer);
+            link->ask(what, on_answer);
             link->flush();
         });
 }
--- a/node/takeover_driver.h
+++ b/node/takeover_driver.h
@@ -86,7 +86,8 @@
     void on_claimed(service_state& at, std::int64_t row_version);
     void write_row(service_state& at, const takeover_row& row,
                    std::function<void(bool)> done);
-    void perform(service_state& at, std::vector<takeover_action> actions);
+    void perform(service_state& at,
+                 const std::vector<takeover_action>& actions);
     void ask(service_state& at, const std::string& id, const statement& what);
     void order(service_state& at, const std::string& id);
     void finish(service_state& at, const takeover_action& action);
--- a/protocol/session_messages.h
+++ b/protocol/session_messages.h
@@ -48,17 +48,22 @@
 struct statement
 {
     statement_kind kind_ = statement_kind::unknown;
-    std::string id_;        ///< the caller's; empty for the proxy's own
-    std::string name_;      ///< of the value or the prepared statement
-    std::string arguments_; ///< value, shape, item and data, as received
-    bool writes_ = false;   ///< of a prepared shape, or of a plain write
-    std::uint64_t term_ = 0;
+    std::string id_;         ///< the caller's; empty for the proxy's own
+    std::string name_;       ///< of the value or the prepared statement
+    std::string arguments_;  ///< value, shape, item and data, as received
+    bool writes_ = false;    ///< of a prepared shape, or of a plain write
+    std::uint64_t term_ = 0; ///< of pause_receiving and step_down
+    /// Only for an endpoint whose log holds this position; callers send none.
+    std::optional<log_position> after_{};
+
+    bool operator==(const statement&) const = default;
 };
 
 struct open_session
 {
-    std::string database_;
+    std::string database_; ///< towards endpoints: the service
     std::string user_;
+    std::string expected_{}; ///< the endpoint's id, or empty
 };
 
 struct end_session
@@ -106,6 +111,8 @@
     std::string text_; ///< the digest, or the error's text
     transaction_state state_ = transaction_state::idle;
     std::optional<log_position> position_;
+
+    bool operator==(const reply&) const = default;
 };
 
 /// An endpoint's answer to `status`.
@@ -118,6 +125,8 @@
     std::int64_t lag_ms_ = 0;
     std::int64_t busy_ = 0;
     std::int64_t connections_ = 0;
+
+    bool operator==(const endpoint_status&) const = default;
 };
 
 /// The largest message that is read, in bytes.
@@ -150,12 +159,13 @@
                           std::string_view user,
                           std::string_view expected) const = 0;
 
-    /// A statement; with `after` it is refused where the log lacks that
-    /// position.
-    virtual void put_statement(std::string& out, const statement& value,
-                               std::optional<log_position> after) const = 0;
+    virtual void put_statement(std::string& out,
+                               const statement& value) const = 0;
 
     virtual result<endpoint_status> status_of(const reply& value) const = 0;
+
+    /// The row that `status_of` reads.
+    virtual std::string status_row(const endpoint_status& value) const = 0;
 };
 
 } // namespace tanagerspan
