Endpoints get what they answer without queueing; marks are renewed; leaving members end

Reads without a mark went to the primary, too, and it was the full one. Ruled out: lag itself (it ended at 10.7 s, the queue at 21 s).

--- a/node/endpoint_group.cc
+++ b/node/endpoint_group.cc
@@ -13,12 +13,9 @@
 namespace
 {
 
-// The mean of answer times follows a change within about this many answers.
-constexpr double answer_weight = 0.15;
-
-// A belief that a replica lags fades by half in about a second of ticks, and
+// A belief that a replica lags fades by half in a few seconds of ticks, and
 // never below the least lag that is worth a question.
-constexpr double lag_fading = 0.97;
+constexpr double lag_fading = 0.995;
 constexpr double least_lag_ms = 20;
 constexpr double most_lag_ms = 4000;
 
@@ -44,6 +41,8 @@
                                    std::size_t share, instant now)
 {
     share_ = std::max<std::size_t>(share, 1);
+    for (auto& at : endpoints_)
+        at->window_.set_most(static_cast<double>(share_ + options_.surplus_));
     for (auto& at : endpoints_)
         at->listed_ = false;
     for (const auto& entry : endpoints)
@@ -125,7 +124,8 @@
     return best ? best : untried;
 }
 
-std::vector<endpoint_load> endpoint_group::loads(bool idle_only,
+std::vector<endpoint_load> endpoint_group::loads(const link_request& wanted,
+                                                 bool idle_only,
                                                  instant now) const
 {
     auto primary = primary_index(now);
@@ -134,19 +134,20 @@
     for (std::size_t i = 0; i < endpoints_.size(); ++i)
     {
         const endpoint_state& at = *endpoints_[i];
-        out.push_back(
-            {.primary_ = primary == i,
-             .leaving_ = at.entry_.leaving_,
-             .same_data_centre_ =
-                 at.entry_.data_centre_ == options_.data_centre_,
-             .has_room_ = at.listed_ &&
-                          (idle_only ? !at.idle_.empty() : may_open(at, now)),
-             .running_ = at.running_,
-             .slots_ = at.entry_.slots_,
-             .answer_ms_ = at.answer_ms_,
-             .avoided_until_ = at.avoided_until_,
-             .lag_ms_ = at.lag_ms_,
-             .known_ = at.known_});
+        std::int64_t running = running_at(at);
+        bool lends = may_work(at, now) && !at.idle_.empty() &&
+                     (wanted.slotless_ || at.window_.has_room(running));
+        out.push_back({.primary_ = primary == i,
+                       .leaving_ = at.entry_.leaving_,
+                       .same_data_centre_ =
+                           at.entry_.data_centre_ == options_.data_centre_,
+                       .has_room_ = idle_only ? lends : may_open(at, now),
+                       .running_ = running,
+                       .slots_ = at.entry_.slots_,
+                       .answer_ms_ = at.window_.mean_ms(),
+                       .avoided_until_ = at.avoided_until_,
+                       .lag_ms_ = at.lag_ms_,
+                       .known_ = at.known_});
     }
     return out;
 }
@@ -155,7 +156,7 @@
                                                   bool idle_only,
                                                   instant now) const
 {
-    auto candidates = loads(idle_only, now);
+    auto candidates = loads(wanted, idle_only, now);
     if (wanted.primary_)
         return choose_primary(candidates);
     std::vector<std::size_t> excluded;
@@ -184,7 +185,16 @@
     std::size_t most =
         share_ + (at.no_surplus_until_ <= now ? options_.surplus_ : 0);
     return may_work(at, now) && at.full_until_ <= now &&
-           at.links_ + at.opening_ < most;
+           at.opening_ < options_.opening_ && at.links_ + at.opening_ < most;
+}
+
+std::int64_t endpoint_group::running_at(const endpoint_state& at)
+{
+    return std::count_if(at.all_.begin(), at.all_.end(),
+                         [](const endpoint_link* link)
+                         {
+                             return link->awaits_reply() || link->lent_;
+                         });
 }
 
 endpoint_group::endpoint_state*
@@ -294,6 +304,7 @@
     }
     link_ptr link = *best;
     at.idle_.erase(best);
+    link->lent_ = true;
     return link;
 }
 
@@ -348,7 +359,6 @@
             endpoint_state& at = *endpoints_[*idle];
             grants.emplace_back(std::move(work->granted_),
                                 take_idle(at, work->wanted_.session_));
-            ++at.running_;
             work = waiting_.erase(work);
             continue;
         }
@@ -372,9 +382,8 @@
     bool clean = link->state() == transaction_state::idle;
     if (usable && link->is_open() && !clean)
         return roll_back(link, now);
+    link->lent_ = false;
     endpoint_state* at = state_of(*link);
-    if (at != nullptr)
-        --at->running_;
     if (!link->is_open())
         return;
     if (!usable || at == nullptr || !at->listed_)
@@ -387,8 +396,6 @@
 
 void endpoint_group::abandon(const link_ptr& link, instant close_at)
 {
-    if (endpoint_state* at = state_of(*link))
-        --at->running_;
     if (link->is_open())
         abandoned_.push_back({link, close_at});
 }
@@ -427,11 +434,17 @@
     endpoint_state* at = state_of(*link);
     if (at == nullptr)
         return;
-    auto took = static_cast<double>(now - asked);
-    at->answer_ms_ =
-        at->answer_ms_ <= 0
-            ? took
-            : at->answer_ms_ * (1 - answer_weight) + took * answer_weight;
+    // The statement itself is answered, and no longer counted.
+    at->window_.on_answer(static_cast<double>(now - asked),
+                          running_at(*at) + 1);
+    if (!waiting_.empty())
+        schedule_dispatch();
+}
+
+void endpoint_group::on_busy(const link_ptr& link)
+{
+    if (endpoint_state* at = state_of(*link))
+        at->window_.on_refused();
 }
 
 void endpoint_group::on_lagging(const link_ptr& link, std::int64_t behind_ms)
@@ -486,10 +499,52 @@
             open_link(*at, now);
     }
     end_late_links(now);
+    renew_mark(now);
     if (!waiting_.empty())
         schedule_dispatch();
 }
 
+void endpoint_group::renew_mark(instant now)
+{
+    auto newest = marks_.newest();
+    bool fresh = newest && now - *newest < options_.mark_every_ms_;
+    if (renewing_mark_ || fresh ||
+        now - marks_wanted_ > options_.marks_wanted_ms_)
+        return;
+    renewing_mark_ = true;
+    constexpr std::int64_t before_all_work = -1;
+    request(
+        {.primary_ = true, .priority_ = before_all_work, .slotless_ = true},
+        [this](const link_ptr& link)
+        {
+            ask_for_mark(link);
+        },
+        now);
+}
+
+void endpoint_group::ask_for_mark(const link_ptr& link)
+{
+    instant asked = monotonic_now();
+    limited_.push_back({link, asked + options_.roll_back_ms_});
+    link->ask({.kind_ = statement_kind::begin},
+              [this, link, asked,
+               alive = std::weak_ptr<bool>(alive_)](const result<reply>& got)
+              {
+                  if (alive.expired())
+                      return;
+                  renewing_mark_ = false;
+                  instant now = monotonic_now();
+                  bool leads = got && !got->error_;
+                  if (leads && got->position_)
+                      marks_.add(asked, *got->position_);
+                  if (got && got->error_ == reply_error::read_only)
+                      on_not_primary(link, now);
+                  // Rolls back what was begun.
+                  give_back(link, got.has_value(), now);
+              });
+    link->flush();
+}
+
 void endpoint_group::end_late_links(instant now)
 {
     for (const auto& one : std::exchange(limited_, {}))
@@ -507,11 +562,8 @@
             one.link_->close({error_code::lost, "no answer in time"});
         else if (one.link_->awaits_reply())
             abandoned_.push_back(one);
-        else if (endpoint_state* at = state_of(*one.link_))
-        {
-            ++at->running_;
+        else
             give_back(one.link_, true, now);
-        }
     }
 }
 
--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -26,6 +26,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/concurrency_window.h"
 #include "coordination/endpoint_choice.h"
 #include "coordination/freshness_marks.h"
 #include "coordination/retry_budget.h"
@@ -43,6 +44,8 @@
     std::optional<position_need> need_{};
     std::vector<std::string> excluded_{}; ///< endpoint ids
     std::int64_t priority_ = 5;
+    /// What it asks takes no slot of the endpoint.
+    bool slotless_ = false;
     const session_values* session_ = nullptr; ///< for choosing a connection
 };
 
@@ -80,6 +83,14 @@
         /// No new work goes to an endpoint that has been leaving for this
         /// long; the installation's bound is longer.
         std::int64_t leaving_ms_ = 6000;
+        /// Connections that are set up at the same time: each takes a slot.
+        std::size_t opening_ = 1;
+        /// A mark this old is renewed while reads ask for marks: several fit
+        /// into the shortest bound, so that an older one is at hand that the
+        /// replicas have.
+        std::int64_t mark_every_ms_ = 250;
+        /// Reads asked for marks within this.
+        std::int64_t marks_wanted_ms_ = 3000;
         /// A connection that is not open by then is given up.
         std::int64_t open_ms_ = 1500;
         /// A connection that does not roll back by then is closed.
@@ -114,6 +125,8 @@
     void on_write_asked(const link_ptr& link, instant now);
     void on_answered(const link_ptr& link, instant asked, instant now,
                      const reply& got);
+    /// The endpoint turned work away.
+    void on_busy(const link_ptr& link);
     /// `behind_ms`: how long the position it lacked had been known here.
     void on_lagging(const link_ptr& link, std::int64_t behind_ms);
     void on_not_primary(const link_ptr& link, instant now);
@@ -131,6 +144,11 @@
     {
         return marks_;
     }
+    /// A read looked for a mark.
+    void on_mark_wanted(instant now)
+    {
+        marks_wanted_ = now;
+    }
     primary_health health() const;
     std::size_t waiting() const
     {
@@ -148,8 +166,7 @@
         std::vector<link_ptr> idle_;
         std::size_t links_ = 0; ///< open ones, idle or not
         std::size_t opening_ = 0;
-        std::int64_t running_ = 0;
-        double answer_ms_ = 0;
+        concurrency_window window_{{}};
         instant avoided_until_ = never;
         instant full_until_ = never;
         instant no_surplus_until_ = never;
@@ -178,7 +195,8 @@
 
     endpoint_state* state_of(const endpoint_link& link);
     std::optional<std::size_t> primary_index(instant now) const;
-    std::vector<endpoint_load> loads(bool idle_only, instant now) const;
+    std::vector<endpoint_load> loads(const link_request& wanted, bool idle_only,
+                                     instant now) const;
     std::optional<std::size_t> choose(const link_request& wanted,
                                       bool idle_only, instant now) const;
     bool may_open(const endpoint_state& at, instant now) const;
@@ -190,6 +208,9 @@
     void dispatch();
     void close_surplus(endpoint_state& at, instant now);
     void end_late_links(instant now);
+    void renew_mark(instant now);
+    void ask_for_mark(const link_ptr& link);
+    static std::int64_t running_at(const endpoint_state& at);
 
     boost::asio::io_context& loop_;
     options options_;
@@ -200,6 +221,8 @@
     std::vector<limited_link> limited_;   ///< closed unless answered in time
     freshness_marks marks_{{}};
     retry_budget repeats_{{.earned_per_attempt_ = 0.05, .cap_ = 10.0}};
+    instant marks_wanted_ = never;
+    bool renewing_mark_ = false;
     promotion_record promoted_;
     ticket next_ticket_ = 1;
     bool dispatch_scheduled_ = false;
--- a/node/endpoint_link.cc
+++ b/node/endpoint_link.cc
@@ -66,6 +66,7 @@
         return close({error_code::lost, "closed before"});
     if (awaiting_since_ == never)
         awaiting_since_ = monotonic_now();
+    lent_ = false;
     stream_->send(output_);
     output_.clear();
 }
--- a/node/endpoint_link.h
+++ b/node/endpoint_link.h
@@ -88,7 +88,8 @@
 
     connection_values values_; ///< what the connection holds
     instant idle_since_ = never;
-    bool awaits_write_ = false;                  ///< of a write or a commit
+    bool awaits_write_ = false; ///< of a write or a commit
+    bool lent_ = false;         ///< to work that has not asked anything yet
     std::function<void(const reply&)> on_reply_; ///< sees every reply
     std::function<void()> on_close_;
 
--- a/node/statement_run.cc
+++ b/node/statement_run.cc
@@ -111,6 +111,7 @@
     const database_route& route = options_.route_;
     if (route.rule_ == read_rule::primary || route.max_staleness_ms_ <= 0)
         return std::nullopt;
+    group_->on_mark_wanted(now);
     instant since = now - route.max_staleness_ms_ + staleness_margin_ms;
     auto mark = group_->marks().covering(since);
     if (!mark)
@@ -353,6 +354,8 @@
         return;
     if (*got->error_ == reply_error::read_only)
         group_->on_not_primary(link_, now);
+    if (*got->error_ == reply_error::busy)
+        group_->on_busy(link_);
     if (*got->error_ == reply_error::lagging && need_)
         group_->on_lagging(link_, now - need_->since_);
     if (*got->error_ == reply_error::no_statement)
@@ -374,6 +377,7 @@
               {"route", options_.route_.name_},
               {"endpoint", link_ ? link_->endpoint().id_ : ""},
               {"step", std::string(name_of(at))},
+              {"positioned", way_ == way::positioned_read},
               {"failure", std::string(name_of(how))},
               {"error", reason},
               {"detail", std::string(detail)},
