Waiting work: in time first, refused at half of its limit under load; half the connections unused

After power-off of all hosts members keep the old connections for 3 s, and new ones found no room. No connection is set up where the window has no room. Change: wait_order ranks by priority, in time, least time left; is_hopeless refuses at half of the limit while others are served, and waits while nobody is; connections beyond half of the share are closed after 3 s idle.

--- /dev/null
+++ b/coordination/wait_order.h
@@ -0,0 +1,53 @@
+#ifndef TANAGERSPAN_COORDINATION_WAIT_ORDER_H
+#define TANAGERSPAN_COORDINATION_WAIT_ORDER_H
+
+// In which order work that waits for a connection is served, and when it is
+// told to come back instead.
+//
+// Priority goes first. Within one, work that can still be in time goes before
+// work that is late, and among those the one with the least time left. Without
+// the second rule an overloaded service is late for everyone: the oldest work
+// is served first, just after it became late.
+//
+// The load it answers: for seconds more work comes than an endpoint can do.
+// What has waited for half of its time limit while others are being served is
+// refused, so that its caller has the other half for another try. While nobody
+// is served, as between the loss of a primary and the next one, work waits for
+// its whole limit: it will be served as soon as anyone is.
+//
+// Pure.
+
+#include <cstdint>
+#include <tuple>
+
+#include "state/instant.h"
+
+namespace tanagerspan
+{
+
+struct waiting_order
+{
+    std::int64_t priority_ = 5; ///< 0 goes first
+    instant due_{};             ///< later than this it is late
+
+    /// Smaller is served sooner.
+    auto rank(instant now) const
+    {
+        return std::tuple{priority_, due_ < now, due_};
+    }
+};
+
+/// `last_served`: when work that needs the same endpoints was served last.
+inline bool is_hopeless(instant arrived, std::int64_t limit_ms,
+                        instant last_served, instant now)
+{
+    // Gaps between answers under load are far shorter, a takeover is longer.
+    constexpr std::int64_t serving_ms = 300;
+    constexpr std::int64_t parts = 2;
+    bool serving = now - last_served < serving_ms;
+    return serving && now - arrived >= limit_ms / parts;
+}
+
+} // namespace tanagerspan
+
+#endif
--- a/node/endpoint_group.cc
+++ b/node/endpoint_group.cc
@@ -185,7 +185,9 @@
     std::size_t most =
         share_ + (at.no_surplus_until_ <= now ? options_.surplus_ : 0);
     return may_work(at, now) && at.full_until_ <= now &&
-           at.opening_ < options_.opening_ && at.links_ + at.opening_ < most;
+           at.opening_ < options_.opening_ &&
+           at.window_.has_room(running_at(at)) &&
+           at.links_ + at.opening_ < most;
 }
 
 std::int64_t endpoint_group::running_at(const endpoint_state& at)
@@ -291,16 +293,14 @@
 link_ptr endpoint_group::take_idle(endpoint_state& at,
                                    const session_values* session)
 {
+    // Among equals the one that was used last: the others then rest, and
+    // those that are not needed are closed.
     auto best = std::prev(at.idle_.end());
-    if (session != nullptr)
+    for (auto one = at.idle_.begin(); session && one != at.idle_.end(); ++one)
     {
-        best =
-            std::min_element(at.idle_.begin(), at.idle_.end(),
-                             [&](const link_ptr& one, const link_ptr& other)
-                             {
-                                 return replay_cost(*session, one->values_) <
-                                        replay_cost(*session, other->values_);
-                             });
+        if (replay_cost(*session, (*one)->values_) <=
+            replay_cost(*session, (*best)->values_))
+            best = one;
     }
     link_ptr link = *best;
     at.idle_.erase(best);
@@ -311,15 +311,8 @@
 endpoint_group::ticket
 endpoint_group::request(link_request wanted, grant_handler granted, instant now)
 {
-    auto behind =
-        std::find_if(waiting_.begin(), waiting_.end(),
-                     [&](const waiting_work& one)
-                     {
-                         return one.wanted_.priority_ > wanted.priority_;
-                     });
     ticket which = next_ticket_++;
-    waiting_.insert(behind,
-                    {which, std::move(wanted), std::move(granted), now});
+    waiting_.push_back({which, std::move(wanted), std::move(granted), now});
     schedule_dispatch();
     return which;
 }
@@ -349,6 +342,12 @@
 {
     dispatch_scheduled_ = false;
     instant now = monotonic_now();
+    waiting_.sort(
+        [now](const waiting_work& one, const waiting_work& other)
+        {
+            return one.wanted_.order_.rank(now) <
+                   other.wanted_.order_.rank(now);
+        });
     std::map<std::size_t, std::size_t> wanted_openings;
     std::vector<std::pair<grant_handler, link_ptr>> grants;
     for (auto work = waiting_.begin(); work != waiting_.end();)
@@ -359,6 +358,7 @@
             endpoint_state& at = *endpoints_[*idle];
             grants.emplace_back(std::move(work->granted_),
                                 take_idle(at, work->wanted_.session_));
+            (work->wanted_.primary_ ? primary_served_ : read_served_) = now;
             work = waiting_.erase(work);
             continue;
         }
@@ -477,7 +477,7 @@
 void endpoint_group::close_surplus(endpoint_state& at, instant now)
 {
     bool contended = at.no_surplus_until_ > now;
-    while (at.links_ > share_ && !at.idle_.empty() &&
+    while (at.links_ > kept_links() && !at.idle_.empty() &&
            (contended ||
             now - at.idle_.front()->idle_since_ > options_.surplus_idle_ms_))
     {
@@ -493,7 +493,7 @@
     {
         close_surplus(*at, now);
         at->lag_ms_ = std::max(at->lag_ms_ * lag_fading, least_lag_ms);
-        std::size_t warm = std::min(options_.warm_links_, share_);
+        std::size_t warm = std::min(options_.warm_links_, kept_links());
         while (at->listed_ && at->links_ + at->opening_ < warm &&
                may_open(*at, now) && at->avoided_until_ <= now)
             open_link(*at, now);
@@ -514,7 +514,9 @@
     renewing_mark_ = true;
     constexpr std::int64_t before_all_work = -1;
     request(
-        {.primary_ = true, .priority_ = before_all_work, .slotless_ = true},
+        {.primary_ = true,
+         .order_ = {.priority_ = before_all_work},
+         .slotless_ = true},
         [this](const link_ptr& link)
         {
             ask_for_mark(link);
--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -31,6 +31,7 @@
 #include "coordination/freshness_marks.h"
 #include "coordination/retry_budget.h"
 #include "coordination/takeover_trigger.h"
+#include "coordination/wait_order.h"
 #include "node/endpoint_link.h"
 #include "state/service_catalogue.h"
 
@@ -43,7 +44,7 @@
     bool primary_ = false;
     std::optional<position_need> need_{};
     std::vector<std::string> excluded_{}; ///< endpoint ids
-    std::int64_t priority_ = 5;
+    waiting_order order_{};
     /// What it asks takes no slot of the endpoint.
     bool slotless_ = false;
     const session_values* session_ = nullptr; ///< for choosing a connection
@@ -72,9 +73,11 @@
         /// An endpoint that refused a connection for want of room is left
         /// alone this long, in which other proxies give some back.
         std::int64_t full_ms_ = 300;
-        /// Idle connections beyond the share are closed after this, so that
-        /// other proxies find room.
-        std::int64_t surplus_idle_ms_ = 2000;
+        /// Idle connections beyond half of the share are closed after this.
+        /// An endpoint drops the connections of hosts that lost power only
+        /// after seconds; with half of its connections unused, the hosts find
+        /// as many again when all of them start anew.
+        std::int64_t surplus_idle_ms_ = 3000;
         /// An endpoint that was full gets no more than the share for this
         /// long: several times what others need to give theirs back.
         std::int64_t no_surplus_ms_ = 10'000;
@@ -139,6 +142,10 @@
     retry_budget& repeats()
     {
         return repeats_;
+    } /// When work of this kind was given a link last.
+    instant last_served(bool primary) const
+    {
+        return primary ? primary_served_ : read_served_;
     }
     freshness_marks& marks()
     {
@@ -206,6 +213,10 @@
     link_ptr take_idle(endpoint_state& at, const session_values* session);
     void schedule_dispatch();
     void dispatch();
+    std::size_t kept_links() const
+    {
+        return (share_ + 1) / 2;
+    }
     void close_surplus(endpoint_state& at, instant now);
     void end_late_links(instant now);
     void renew_mark(instant now);
@@ -221,6 +232,8 @@
     std::vector<limited_link> limited_;   ///< closed unless answered in time
     freshness_marks marks_{{}};
     retry_budget repeats_{{.earned_per_attempt_ = 0.05, .cap_ = 10.0}};
+    instant primary_served_ = never;
+    instant read_served_ = never;
     instant marks_wanted_ = never;
     bool renewing_mark_ = false;
     promotion_record promoted_;
--- a/node/statement_run.cc
+++ b/node/statement_run.cc
@@ -152,7 +152,9 @@
     link_request wanted{.primary_ = way_ != way::positioned_read,
                         .need_ = need_,
                         .excluded_ = excluded_,
-                        .priority_ = options_.route_.priority_,
+                        .order_ = {.priority_ = options_.route_.priority_,
+                                   .due_ = options_.arrived_ +
+                                           options_.route_.target_latency_ms_},
                         .session_ = &options_.session_->values_};
     ticket_ = group_->request(
         std::move(wanted),
@@ -470,6 +472,11 @@
         return;
     if (now >= deadline())
         return settle(attempt_failure::expired, std::nullopt, "time limit");
+    bool waits = phase_ == phase::waiting && ticket_ != 0;
+    if (waits &&
+        is_hopeless(options_.arrived_, options_.route_.timeout_ms_,
+                    group_->last_served(way_ != way::positioned_read), now))
+        return settle(attempt_failure::expired, std::nullopt, "overload");
     if (phase_ == phase::waiting && retry_at_ != never && now >= retry_at_)
         return next_attempt();
     bool silent = phase_ == phase::running && !in_transaction() &&
