Waiting work is due early enough to be answered in time

Cause: a test of one and a half times the load served everyone with no time to spare: least time left goes first, and the answer itself came late. Change: due_of leaves four tenths of the target for the answer.

--- a/coordination/wait_order.h
+++ b/coordination/wait_order.h
@@ -28,7 +28,7 @@
 struct waiting_order
 {
     std::int64_t priority_ = 5; ///< 0 goes first
-    instant due_{};             ///< later than this it is late
+    instant due_{};             ///< served later than this it is late
 
     /// Smaller is served sooner.
     auto rank(instant now) const
@@ -37,6 +37,17 @@
     }
 };
 
+/// Until when work has to be served to be in time.
+inline instant due_of(instant arrived, std::int64_t target_ms)
+{
+    // The rest of the target is for the answer itself and for the further
+    // statements of a transaction. Work served with no time to spare would
+    // be late all the same.
+    constexpr double waiting_part = 0.6;
+    return arrived + static_cast<std::int64_t>(static_cast<double>(target_ms) *
+                                               waiting_part);
+}
+
 /// `last_served`: when work that needs the same endpoints was served last.
 inline bool is_hopeless(instant arrived, std::int64_t limit_ms,
                         instant last_served, instant now)
--- a/node/statement_run.cc
+++ b/node/statement_run.cc
@@ -149,13 +149,14 @@
     retry_at_ = never;
     begun_ = false;
     choose_way(now);
-    link_request wanted{.primary_ = way_ != way::positioned_read,
-                        .need_ = need_,
-                        .excluded_ = excluded_,
-                        .order_ = {.priority_ = options_.route_.priority_,
-                                   .due_ = options_.arrived_ +
-                                           options_.route_.target_latency_ms_},
-                        .session_ = &options_.session_->values_};
+    link_request wanted{
+        .primary_ = way_ != way::positioned_read,
+        .need_ = need_,
+        .excluded_ = excluded_,
+        .order_ = {.priority_ = options_.route_.priority_,
+                   .due_ = due_of(options_.arrived_,
+                                  options_.route_.target_latency_ms_)},
+        .session_ = &options_.session_->values_};
     ticket_ = group_->request(
         std::move(wanted),
         [self = shared_from_this()](const link_ptr& link)
