--- a/coordination/attempt_policy.cc
+++ b/coordination/attempt_policy.cc
@@ -38,6 +38,44 @@
 
 } // namespace
 
+std::string_view name_of(attempt_failure how)
+{
+    switch (how)
+    {
+    case attempt_failure::refused:
+        return "refused";
+    case attempt_failure::ran:
+        return "ran";
+    case attempt_failure::lost:
+        return "lost";
+    default:
+        return "expired";
+    }
+}
+
+std::string_view name_of(attempt_step step)
+{
+    switch (step)
+    {
+    case attempt_step::connect:
+        return "connect";
+    case attempt_step::begin:
+        return "begin";
+    case attempt_step::lone_read:
+        return "lone_read";
+    case attempt_step::lone_write:
+        return "lone_write";
+    case attempt_step::first_inside:
+        return "first_inside";
+    case attempt_step::later_inside:
+        return "later_inside";
+    case attempt_step::commit_read_only:
+        return "commit_read_only";
+    default:
+        return "commit";
+    }
+}
+
 attempt_failure failure_of(reply_error code)
 {
     switch (code)
--- a/coordination/attempt_policy.h
+++ b/coordination/attempt_policy.h
@@ -12,7 +12,7 @@
 //
 // Pure; every combination is enumerated by the tests.
 
-#include <optional>
+#include <string_view>
 
 #include "protocol/session_messages.h"
 
@@ -58,6 +58,10 @@
     bool roll_back_ = false;
 };
 
+/// The names in logs.
+std::string_view name_of(attempt_step step);
+std::string_view name_of(attempt_failure how);
+
 attempt_failure failure_of(reply_error code);
 
 /// `may_retry`: attempts and time are left.
--- a/daemons/tanager_edge_main.cc
+++ b/daemons/tanager_edge_main.cc
@@ -6,6 +6,9 @@
 #include <iostream>
 #include <thread>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <utility>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -216,6 +219,8 @@
     // The file is read at the start only: the platform's addresses and bounds
     // hold for the life of a process.
     std::signal(SIGHUP, SIG_IGN);
+    // A slow reader of the log must not hold up traffic.
+    fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
     start_json_log(settings->host_name_, log_level::info, std::cout);
     process edge(std::move(*settings));
     return edge.run();
--- /dev/null
+++ b/node/session_fixture_test.h
@@ -0,0 +1,198 @@
+#ifndef TANAGERSPAN_NODE_SESSION_FIXTURE_TEST_H
+#define TANAGERSPAN_NODE_SESSION_FIXTURE_TEST_H
+
+// For tests of sessions: callers and a group of stand-in members around the
+// traffic side of one proxy, on loopback and one event loop.
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "node/traffic_front.h"
+#include "platform/line_codec.h"
+#include "stand_ins/session_endpoint.h"
+#include "testing/check.h"
+#include "transport/monotonic_clock.h"
+
+namespace tanagerspan
+{
+
+inline const platform::line_codec codec;
+
+/// A caller: sends lines, collects replies.
+struct caller
+{
+    std::shared_ptr<byte_stream> stream_;
+    std::vector<reply> replies_;
+    reply partial_;
+    bool refused_ = false;
+    bool ended_ = false;
+    std::uint64_t next_id_ = 1;
+
+    caller(boost::asio::io_context& loop, const std::string& address)
+    {
+        stream_ = std::make_shared<byte_stream>(tcp_socket(loop));
+        stream_->open(*parse_endpoint(address),
+                      {.on_input_ =
+                           [this]
+                       {
+                           take();
+                       },
+                       .on_end_ =
+                           [this](const failure&)
+                       {
+                           ended_ = true;
+                           refused_ = partial_.error_.has_value();
+                       }},
+                      [this](result<void> opened)
+                      {
+                          ended_ = !opened;
+                      });
+    }
+
+    ~caller()
+    {
+        stream_->close();
+    }
+
+    void take()
+    {
+        for (;;)
+        {
+            auto got = codec.take_reply(stream_->input(), partial_);
+            if (!got || !*got)
+                return;
+            replies_.push_back(**got);
+        }
+    }
+
+    void say(std::string_view line)
+    {
+        stream_->send(std::string(line) + "\r\n");
+    }
+
+    void query(std::string_view text)
+    {
+        say("QUERY " + std::to_string(next_id_++) + " " + std::string(text));
+    }
+};
+
+/// A group of three members behind one proxy.
+struct fixture
+{
+    boost::asio::io_context loop_{1};
+    std::vector<std::unique_ptr<session_endpoint>> members_;
+    std::unique_ptr<traffic_front> front_;
+    std::string address_;
+    endpoint_list entries_;
+    std::int64_t row_version_ = 1;
+
+    fixture()
+    {
+        for (const char* id : {"m1", "m2", "m3"})
+        {
+            members_.push_back(std::make_unique<session_endpoint>(
+                loop_,
+                session_endpoint::options{.codec_ = &codec,
+                                          .service_ = "svc",
+                                          .id_ = id,
+                                          .primary_ = members_.empty()}));
+            members_.back()->start();
+            entries_.push_back({.id_ = id,
+                                .service_ = "svc",
+                                .address_ = members_.back()->address(),
+                                .data_centre_ = "a",
+                                .slots_ = 5,
+                                .primary_ = entries_.empty(),
+                                .row_version_ = row_version_++});
+        }
+        boost::asio::ip::tcp::acceptor probe(
+            loop_, {boost::asio::ip::address_v4::loopback(), 0});
+        address_ = "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+        probe.close();
+        front_ = std::make_unique<traffic_front>(
+            loop_, traffic_front::options{.codec_ = &codec,
+                                          .host_name_ = "host",
+                                          .data_centre_ = "a",
+                                          .callers_address_ = address_});
+        CPPUNIT_ASSERT(front_->start().has_value());
+        auto routes = std::make_shared<route_table>();
+        routes->version_ = 1;
+        routes->services_["svc"] = {.max_connections_ = 30};
+        auto add = [&](const char* database, read_rule rule)
+        {
+            routes->by_database_[database] = {.name_ = database,
+                                              .database_ = database,
+                                              .service_ = "svc",
+                                              .rule_ = rule,
+                                              .timeout_ms_ = 400,
+                                              .target_latency_ms_ = 200,
+                                              .max_staleness_ms_ = 1500};
+        };
+        add("strict", read_rule::primary);
+        add("own", read_rule::read_your_writes);
+        add("bounded", read_rule::bounded_staleness);
+        routes->transaction_idle_ms_ = 300;
+        front_->set_routes(routes);
+        publish();
+    }
+
+    void publish()
+    {
+        front_->set_endpoints(std::make_shared<const endpoint_list>(entries_),
+                              3);
+    }
+
+    /// Runs the loop until `done`, two seconds at most.
+    bool until(const std::function<bool()>& done)
+    {
+        instant end = monotonic_now() + 2000;
+        while (!done() && monotonic_now() < end)
+            loop_.run_one_for(std::chrono::milliseconds(5));
+        return done();
+    }
+
+    void run_for(std::int64_t ms)
+    {
+        instant end = monotonic_now() + ms;
+        while (monotonic_now() < end)
+            loop_.run_one_for(std::chrono::milliseconds(5));
+    }
+
+    std::unique_ptr<caller> open(const std::string& database)
+    {
+        auto out = std::make_unique<caller>(loop_, address_);
+        out->say("STARTUP " + database + " user");
+        CPPUNIT_ASSERT(until(
+            [&]
+            {
+                return !out->replies_.empty() || out->ended_;
+            }));
+        return out;
+    }
+
+    /// One statement and its reply.
+    reply ask(caller& from, std::string_view text)
+    {
+        std::size_t before = from.replies_.size();
+        from.query(text);
+        CPPUNIT_ASSERT_MESSAGE(std::string(text),
+                               until(
+                                   [&]
+                                   {
+                                       return from.replies_.size() > before;
+                                   }));
+        return from.replies_.back();
+    }
+
+    session_endpoint& primary()
+    {
+        return *members_.front();
+    }
+};
+
+} // namespace tanagerspan
+
+#endif
--- a/transport/json_log.cc
+++ b/transport/json_log.cc
@@ -3,6 +3,8 @@
 #include <array>
 #include <cstdio>
 #include <ctime>
+#include <mutex>
+#include <utility>
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
@@ -12,6 +14,8 @@
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/console.hpp>
 
+#include "transport/monotonic_clock.h"
+
 namespace tanagerspan
 {
 namespace
@@ -38,6 +42,49 @@
     }
 }
 
+/// Counts lines by the second. Thread safe.
+class volume_bound
+{
+public:
+    /// False where the line is too many; `dropped`: those before this one.
+    bool admit(instant now, std::int64_t& dropped)
+    {
+        constexpr std::int64_t ms_per_s = 1000;
+        std::lock_guard lock(mutex_);
+        if (now - second_ >= ms_per_s)
+        {
+            second_ = now;
+            written_ = 0;
+        }
+        if (written_ >= max_lines_per_s)
+        {
+            ++dropped_;
+            return false;
+        }
+        ++written_;
+        dropped = std::exchange(dropped_, 0);
+        return true;
+    }
+
+private:
+    std::mutex mutex_;
+    instant second_ = never;
+    std::int64_t written_ = 0;
+    std::int64_t dropped_ = 0;
+};
+
+volume_bound& volume()
+{
+    static volume_bound bound;
+    return bound;
+}
+
+std::ostream*& output()
+{
+    static std::ostream* out = nullptr;
+    return out;
+}
+
 /// For people only: no decision looks at the time of day.
 std::string time_of_day()
 {
@@ -58,6 +105,7 @@
 
 void start_json_log(std::string process, log_level lowest, std::ostream& out)
 {
+    output() = &out;
     process_name() = std::move(process);
     namespace expr = boost::log::expressions;
     boost::log::add_console_log(
@@ -69,6 +117,14 @@
 
 void log_line(log_level level, std::string_view event, nlohmann::json fields)
 {
+    std::int64_t dropped = 0;
+    if (!volume().admit(monotonic_now(), dropped))
+        return;
+    if (dropped > 0)
+        fields["lines_dropped_before"] = dropped;
+    // A reader that did not keep up must not end the log for good.
+    if (output() != nullptr && !*output())
+        output()->clear();
     thread_local boost::log::sources::severity_logger<int> logger;
     BOOST_LOG_SEV(logger, static_cast<int>(level)) << [&]
     {
--- a/transport/json_log.h
+++ b/transport/json_log.h
@@ -6,8 +6,13 @@
 //   start_json_log("proxy-1", log_level::info);
 //   log_line(log_level::info, "promotion", {{"term", 4}});
 //
+// The volume is bounded: beyond `max_lines_per_s` lines are counted instead of
+// written, and the count stands in a line of its own. Writing never waits for
+// the reader where the stream's descriptor does not block.
+//
 // Thread safe after `start_json_log`.
 
+#include <cstdint>
 #include <iostream>
 #include <string>
 #include <string_view>
@@ -17,6 +22,9 @@
 namespace tanagerspan
 {
 
+/// Several times what a proxy at its usual load writes when an endpoint dies.
+constexpr std::int64_t max_lines_per_s = 300;
+
 enum class log_level
 {
     debug,
