--- a/node/endpoint_group.cc
+++ b/node/endpoint_group.cc
@@ -392,6 +392,12 @@
         at->avoided_until_ = now + options_.avoid_ms_;
 }
 
+std::string endpoint_group::primary_id(instant now) const
+{
+    auto at = primary_index(now);
+    return at ? endpoints_[*at]->entry_.id_ : std::string();
+}
+
 primary_health endpoint_group::health() const
 {
     primary_health out;
--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -157,6 +157,8 @@
         marks_wanted_ = now;
     }
     primary_health health() const;
+    /// The endpoint that is taken to lead now; empty where none is known.
+    std::string primary_id(instant now) const;
     std::size_t waiting() const
     {
         return waiting_.size();
--- a/node/statement_run.cc
+++ b/node/statement_run.cc
@@ -334,6 +334,7 @@
     bool may_retry = attempts_ < max_attempts && now < deadline();
     attempt_step at = step();
     attempt_ruling ruling = judge(at, how, may_retry);
+    bool positioned = way_ == way::positioned_read;
     std::string reason =
         got && got->error_ ? std::string(name_of(*got->error_)) : "";
     log_line(log_level::info, "attempt_failed",
@@ -342,13 +343,16 @@
               {"route", options_.route_.name_},
               {"endpoint", link_ ? link_->endpoint().id_ : ""},
               {"step", std::string(name_of(at))},
-              {"positioned", way_ == way::positioned_read},
+              {"positioned", positioned},
               {"failure", std::string(name_of(how))},
               {"error", reason},
               {"detail", std::string(detail)},
               {"asked_ms_ago", asked_ == never ? -1 : now - asked_},
               {"age_ms", now - options_.arrived_},
               {"attempt", attempts_},
+              {"primary", group_->primary_id(now)},
+              {"waiting", group_->waiting()},
+              {"served_ms_ago", now - group_->last_served(!positioned)},
               {"retry", ruling.verdict_ == attempt_verdict::retry}});
     tell_group(how, got, now);
     bool lagging = got && got->error_ == reply_error::lagging;
