A primary that nobody hears steps down before its successor is chosen

Ruled out: a replica that was not held (all answered). Change: such a primary is made a replica first; an endpoint that joins ends an attempt that has not ordered yet.

--- a/coordination/takeover.cc
+++ b/coordination/takeover.cc
@@ -91,6 +91,11 @@
         return judge_inspection(now);
     if (phase_ == phase::comparing)
         return judge_comparison(now);
+    if (phase_ == phase::demoting)
+    {
+        bool demoted = id == primary_id_ && status && !status->primary_;
+        return demoted ? hold_replicas(now) : actions{};
+    }
     if (phase_ == phase::holding)
     {
         bool holds = status && status->paused_by_term_ >= hold_term_;
@@ -180,10 +185,12 @@
     bool over =
         now - phase_since_ >= options_.receive_ms_ + options_.inspect_ms_;
     if (!all && !over)
-        return {};
-    // It leads, but nothing of what it takes is vouched for by a replica.
+        return {}; // It leads, but nothing of what it takes is vouched for by a
+                   // replica.
     forced_ = true;
-    return hold_replicas(now);
+    phase_ = phase::demoting;
+    phase_since_ = now;
+    return {{kind::step_down, primary_id_, hold_term_}};
 }
 
 std::optional<takeover::actions> takeover::end_early(bool alive)
@@ -350,6 +357,11 @@
         if (out.empty())
             return judge_comparison(now);
     }
+    if (phase_ == phase::demoting && now - phase_since_ >= options_.repeat_ms_)
+    {
+        phase_since_ = now;
+        out.push_back({kind::step_down, primary_id_, hold_term_});
+    }
     if (phase_ == phase::holding)
     {
         for (member_state* one : replicas())
@@ -378,6 +390,12 @@
     return out;
 }
 
+takeover::actions takeover::on_joined()
+{
+    bool decided = phase_ == phase::ordering || finished();
+    return decided ? actions{} : give_up("an endpoint joined");
+}
+
 takeover::actions takeover::give_up(std::string why)
 {
     actions out;
--- a/coordination/takeover.h
+++ b/coordination/takeover.h
@@ -10,7 +10,10 @@
 //
 //   - The primary answers and is to leave: the others are held, the chosen
 //     one goes on receiving until it has what they have; writes go on.
-//   - The primary does not answer, or no replica receives from it: all
+//   - No replica receives from a primary that answers: it is made a replica
+//     first, since an endpoint that joins the group meanwhile would vouch for
+//     changes that no other has.
+//   - It does not answer, or was made a replica: all
 //     replicas are held and the furthest is chosen. All have to answer; a log
 //     that can't be seen may hold what no other has.
 //
@@ -58,7 +61,8 @@
     enum class kind
     {
         ask_status,
-        hold, ///< with `term_`
+        hold,      ///< with `term_`
+        step_down, ///< with `term_`
         release,
         record_target,
         order,
@@ -102,7 +106,11 @@
     on_status(const std::string& id, std::optional<endpoint_status> status,
               instant now);
     /// The endpoint lives, but takes no connection or question now.
-    std::vector<takeover_action> on_refused(const std::string& id, instant now);
+    std::vector<takeover_action>
+    on_refused(const std::string& id,
+               instant now); /// An endpoint joined the group: it may hold what
+                             /// no other has.
+    std::vector<takeover_action> on_joined();
     std::vector<takeover_action> on_recorded(bool recorded, instant now);
 
     enum class order_outcome
@@ -125,6 +133,7 @@
     {
         inspecting,
         comparing, ///< whether a replica receives what the primary holds
+        demoting,  ///< a primary that nobody hears
         holding,
         catching_up,
         recording,
--- a/coordination/takeover_test.cc
+++ b/coordination/takeover_test.cc
@@ -27,7 +27,8 @@
         bool receives_ = true; ///< from the primary
         std::uint64_t held_term_ = 0;
     };
-    std::vector<member> members_{{"p"}, {"a"}, {"b"}};
+    /// "n" joins late: no attempt knows it.
+    std::vector<member> members_{{"p"}, {"a"}, {"b"}, {"n"}};
     std::string leader_ = "p";
     std::uint64_t term_ = 1;
     log_position acknowledged_{1, 10};
@@ -44,9 +45,9 @@
     /// The leader takes a change; `receiver` gets it if it can.
     void commit(const std::string& receiver)
     {
-        member& leader = of(leader_);
-        if (!leader.alive_)
+        if (leader_.empty() || !of(leader_).alive_)
             return;
+        member& leader = of(leader_);
         leader.log_ = {term_, leader.log_.index_ + 1};
         member& to = of(receiver);
         bool received =
@@ -78,6 +79,12 @@
         }
     }
 
+    void step_down(const std::string& id, std::uint64_t term)
+    {
+        if (id == leader_ && of(id).alive_ && term > term_)
+            leader_.clear();
+    }
+
     void release(const std::string& id)
     {
         of(id).held_ = false;
@@ -106,6 +113,8 @@
     CPPUNIT_TEST(a_replica_that_cannot_be_seen_stops_it);
     CPPUNIT_TEST(a_primary_that_answers_is_kept);
     CPPUNIT_TEST(a_primary_that_nobody_hears_is_replaced);
+    CPPUNIT_TEST(an_endpoint_that_joins_vouches_for_nothing_lost);
+    CPPUNIT_TEST(an_endpoint_that_joins_stops_an_attempt);
     CPPUNIT_TEST(a_busy_primary_is_kept);
     CPPUNIT_TEST(an_order_that_may_travel_is_named_again);
     CPPUNIT_TEST(nothing_is_released_while_an_order_may_travel);
@@ -153,7 +162,10 @@
             const std::string& id = next.endpoint_id_;
             if (next.kind_ == kind::hold)
                 group.hold(id, next.term_);
-            if (next.kind_ == kind::hold || next.kind_ == kind::ask_status)
+            if (next.kind_ == kind::step_down)
+                group.step_down(id, next.term_);
+            if (next.kind_ == kind::hold || next.kind_ == kind::ask_status ||
+                next.kind_ == kind::step_down)
                 add(attempt.on_status(id, group.status(id), now));
             if (next.kind_ == kind::record_target)
                 add(attempt.on_recorded(true, now));
@@ -232,6 +244,34 @@
         }
     }
 
+    // Regression: all replicas of a primary that was cut off were held, and a
+    // new one vouched for a change just before another was promoted.
+    void an_endpoint_that_joins_vouches_for_nothing_lost()
+    {
+        group_model group;
+        group.of("a").receives_ = group.of("b").receives_ = false;
+        group.commit("a"); // which nobody vouches for
+        bool held = false;
+        auto got = play(group, takeover_reason::stuck,
+                        [&held](group_model& at)
+                        {
+                            held = held || at.of("a").held_;
+                            if (held)
+                                at.commit("n");
+                        });
+        CPPUNIT_ASSERT(got.ordered_.has_value());
+        CPPUNIT_ASSERT(group.of(group.leader_).log_ >= group.acknowledged_);
+    }
+
+    void an_endpoint_that_joins_stops_an_attempt()
+    {
+        takeover attempt({}, takeover_reason::silent, "p",
+                         {{"p"}, {"a"}, {"b"}}, std::nullopt, instant{0});
+        attempt.start(instant{0});
+        attempt.on_joined();
+        CPPUNIT_ASSERT(attempt.finished());
+    }
+
     // Regression: members with no connection left were taken for dead, and
     // held in a term that was too low.
     void a_busy_primary_is_kept()
@@ -332,8 +372,9 @@
                                  now.of("a").alive_ = !now.of("a").alive_;
                              else if (event == 10)
                                  now.of("b").receives_ = !now.of("b").receives_;
-                             lost = lost || now.of(now.leader_).log_ <
-                                                now.acknowledged_;
+                             lost = lost || (!now.leader_.empty() &&
+                                             now.of(now.leader_).log_ <
+                                                 now.acknowledged_);
                          });
                 RC_ASSERT(!lost);
                 RC_ASSERT(
--- a/node/takeover_driver.cc
+++ b/node/takeover_driver.cc
@@ -1,6 +1,7 @@
 #include "node/takeover_driver.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -23,6 +24,8 @@
     if (action.kind_ == kind::hold)
         return {.kind_ = statement_kind::pause_receiving,
                 .term_ = action.term_};
+    if (action.kind_ == kind::step_down)
+        return {.kind_ = statement_kind::step_down, .term_ = action.term_};
     if (action.kind_ == kind::release)
         return {.kind_ = statement_kind::resume_receiving};
     return {.kind_ = statement_kind::status};
@@ -56,10 +59,25 @@
 
 void takeover_driver::set_endpoints(const endpoint_list& endpoints)
 {
+    std::map<std::string, std::set<std::string>> known;
     for (auto& [name, at] : services_)
-        at.members_.clear();
+    {
+        for (const auto& entry : std::exchange(at.members_, {}))
+            known[name].insert(entry.id_);
+    }
+    std::set<std::string> joined;
     for (const auto& entry : endpoints)
+    {
         state_of(entry.service_).members_.push_back(entry);
+        if (!known[entry.service_].contains(entry.id_))
+            joined.insert(entry.service_);
+    }
+    for (const auto& service : joined)
+    {
+        service_state& at = state_of(service);
+        if (at.attempt_)
+            perform(at, at.attempt_->on_joined());
+    }
 }
 
 void takeover_driver::set_hosts(std::vector<std::string> hosts)
@@ -245,6 +263,7 @@
         {
         case kind::ask_status:
         case kind::hold:
+        case kind::step_down:
         case kind::release:
             ask(at, action.endpoint_id_, statement_of(action));
             break;
