Every primary that answers steps down before its successor is chosen

The trace was not caught again; a release of an earlier attempt that was carried out late, or a new member, can do it. Ruled out: the comparison (positions were equal when it was made). Change: planned moves go the same way: step down, let what was sent arrive, hold, compare. Writes stop for the promotion's second. The claim of a promotion ends when the endpoint says later that it does not lead.

--- a/coordination/takeover.cc
+++ b/coordination/takeover.cc
@@ -93,8 +93,11 @@
         return judge_comparison(now);
     if (phase_ == phase::demoting)
     {
-        bool demoted = id == primary_id_ && status && !status->primary_;
-        return demoted ? hold_replicas(now) : actions{};
+        if (id != primary_id_ || !status || status->primary_)
+            return {};
+        phase_ = phase::settling;
+        phase_since_ = now;
+        return {};
     }
     if (phase_ == phase::holding)
     {
@@ -105,8 +108,6 @@
             return give_up("a newer term was found");
         return check_held(now);
     }
-    if (phase_ == phase::catching_up && id == target_ && status)
-        return check_caught_up(now);
     if (phase_ == phase::ordering && id == target_ && status &&
         status->primary_ && status->term_ >= hold_term_)
         return finish(target_, "it leads");
@@ -156,8 +157,7 @@
                    reason_ != takeover_reason::leaving;
     if (doubted)
         return compare(now);
-    forced_ = !alive;
-    return hold_replicas(now);
+    return alive ? demote(now) : hold_replicas(now);
 }
 
 takeover::actions takeover::compare(instant now)
@@ -173,6 +173,13 @@
     return {};
 }
 
+takeover::actions takeover::demote(instant now)
+{
+    phase_ = phase::demoting;
+    phase_since_ = now;
+    return {{kind::step_down, primary_id_, hold_term_}};
+}
+
 takeover::actions takeover::judge_comparison(instant now)
 {
     bool all = true;
@@ -185,12 +192,9 @@
     bool over =
         now - phase_since_ >= options_.receive_ms_ + options_.inspect_ms_;
     if (!all && !over)
-        return {}; // It leads, but nothing of what it takes is vouched for by a
-                   // replica.
-    forced_ = true;
-    phase_ = phase::demoting;
-    phase_since_ = now;
-    return {{kind::step_down, primary_id_, hold_term_}};
+        return {};
+    // It leads, but nothing of what it takes is vouched for by a replica.
+    return demote(now);
 }
 
 std::optional<takeover::actions> takeover::end_early(bool alive)
@@ -225,15 +229,9 @@
 {
     phase_ = phase::holding;
     phase_since_ = now;
-    if (!forced_)
-        prefer_target();
-    if (!forced_ && target_.empty())
-        return give_up("no replica stays");
     actions out;
     for (member_state* one : replicas())
     {
-        if (one->who_.id_ == target_)
-            continue;
         one->asked_ = now;
         out.push_back({kind::hold, one->who_.id_, hold_term_});
     }
@@ -242,35 +240,14 @@
     return out;
 }
 
-void takeover::prefer_target()
-{
-    // One that stays is preferred to one that is further, since it still
-    // receives what it lacks; one that was ordered before goes first.
-    for (member_state* one : replicas())
-    {
-        bool ordered = one->who_.id_ == ordered_before_;
-        if (!one->answered_ || (one->who_.leaving_ && !ordered))
-            continue;
-        if (target_.empty() || ordered ||
-            (target_ != ordered_before_ &&
-             one->status_.received_ > find(target_)->status_.received_))
-            target_ = one->who_.id_;
-    }
-}
-
 takeover::actions takeover::check_held(instant now)
 {
     for (const member_state* one : replicas())
     {
-        if (one->who_.id_ != target_ && !one->held_)
+        if (!one->held_)
             return {};
     }
-    if (forced_)
-        return choose_furthest(now);
-    phase_ = phase::catching_up;
-    phase_since_ = now;
-    find(target_)->asked_ = now;
-    return {{kind::ask_status, target_}};
+    return choose_furthest(now);
 }
 
 takeover::actions takeover::choose_furthest(instant)
@@ -282,17 +259,6 @@
     return record();
 }
 
-takeover::actions takeover::check_caught_up(instant)
-{
-    const member_state* target = find(target_);
-    for (const member_state* one : replicas())
-    {
-        if (one->status_.received_ > target->status_.received_)
-            return {}; // asked again by `tick`
-    }
-    return record();
-}
-
 takeover::actions takeover::record()
 {
     bool may_be_under_way = ordered_before_ && *ordered_before_ != target_;
@@ -366,20 +332,14 @@
     {
         for (member_state* one : replicas())
         {
-            bool open = one->who_.id_ != target_ && !one->held_;
-            if (!open || now - one->asked_ < options_.repeat_ms_)
+            if (one->held_ || now - one->asked_ < options_.repeat_ms_)
                 continue;
             one->asked_ = now;
             out.push_back({kind::hold, one->who_.id_, hold_term_});
         }
     }
-    member_state* target = find(target_);
-    if (phase_ == phase::catching_up &&
-        now - target->asked_ >= options_.catch_up_poll_ms_)
-    {
-        target->asked_ = now;
-        out.push_back({kind::ask_status, target_});
-    }
+    if (phase_ == phase::settling && now - phase_since_ >= options_.settle_ms_)
+        return hold_replicas(now);
     if (phase_ == phase::ordering && !order_out_ &&
         now - ordered_at_ >= options_.order_repeat_ms_)
     {
--- a/coordination/takeover.h
+++ b/coordination/takeover.h
@@ -8,14 +8,13 @@
 // as the log of every other replica, compared after those were told to
 // receive nothing more: what they hold then is all that they vouched for.
 //
-//   - The primary answers and is to leave: the others are held, the chosen
-//     one goes on receiving until it has what they have; writes go on.
-//   - No replica receives from a primary that answers: it is made a replica
-//     first, since an endpoint that joins the group meanwhile would vouch for
-//     changes that no other has.
-//   - It does not answer, or was made a replica: all
-//     replicas are held and the furthest is chosen. All have to answer; a log
-//     that can't be seen may hold what no other has.
+//   - A primary that answers is made a replica first: from then on nothing is
+//     acknowledged, whoever joins the group or is released by an order that
+//     was carried out late. That costs writes the second of the promotion.
+//   - A primary that does not answer is left alone.
+//   - Then all replicas are held and the furthest is chosen. All have to
+//   answer;
+//     a log that can't be seen may hold what no other has.
 //
 // An order may be carried out late. So the chosen endpoint is recorded before
 // the order goes out, and a later attempt names the same one as long as that
@@ -87,8 +86,9 @@
         /// A replica that receives has what the primary held this long ago:
         /// many round trips between data centres.
         std::int64_t receive_ms_ = 150;
-        /// How often a replica that catches up is asked.
-        std::int64_t catch_up_poll_ms_ = 30;
+        /// Between the step down of a primary and the comparison: what it sent
+        /// before reaches the replicas meanwhile.
+        std::int64_t settle_ms_ = 40;
         /// An order whose answer is missing is repeated after this: the same
         /// order again changes nothing.
         std::int64_t order_repeat_ms_ = 400;
@@ -133,9 +133,9 @@
     {
         inspecting,
         comparing, ///< whether a replica receives what the primary holds
-        demoting,  ///< a primary that nobody hears
+        demoting,  ///< a primary that answers
+        settling,
         holding,
-        catching_up,
         recording,
         ordering,
         finished
@@ -155,15 +155,14 @@
     member_state* find(const std::string& id);
     std::vector<member_state*> replicas();
     actions judge_inspection(instant now);
+    actions demote(instant now);
     actions hold_replicas(instant now);
     actions check_held(instant now);
     actions choose_furthest(instant now);
-    actions check_caught_up(instant now);
     actions record();
     std::optional<actions> end_early(bool alive);
     actions compare(instant now);
     actions judge_comparison(instant now);
-    void prefer_target();
     actions give_up(std::string why);
     actions finish(std::string leader, std::string why);
     member_state* choose_target(bool held_only);
@@ -176,7 +175,6 @@
     instant claimed_;
     phase phase_ = phase::inspecting;
     std::vector<member_state> members_;
-    bool forced_ = false;
     log_position primary_held_{};
     std::string target_;
     std::uint64_t hold_term_ = 0;
--- a/node/endpoint_group.cc
+++ b/node/endpoint_group.cc
@@ -96,6 +96,20 @@
     schedule_dispatch();
 }
 
+std::int64_t endpoint_group::claim_version(const endpoint_state& at) const
+{
+    constexpr std::int64_t no_claim = -1;
+    std::int64_t said = at.entry_.row_version_;
+    if (at.entry_.primary_)
+        return at.entry_.id_ == promoted_.endpoint_id_
+                   ? std::max(said, promoted_.row_version_)
+                   : said;
+    // What the endpoint said after its promotion goes before the promotion.
+    bool promoted = at.entry_.id_ == promoted_.endpoint_id_ &&
+                    promoted_.row_version_ > said;
+    return promoted ? promoted_.row_version_ : no_claim;
+}
+
 std::optional<std::size_t> endpoint_group::primary_index(instant now) const
 {
     std::optional<std::size_t> best;
@@ -106,9 +120,7 @@
         const endpoint_state& at = *endpoints_[i];
         if (!at.listed_ || at.not_primary_until_ > now)
             continue;
-        std::int64_t version = at.entry_.primary_ ? at.entry_.row_version_ : -1;
-        if (at.entry_.id_ == promoted_.endpoint_id_)
-            version = std::max(version, promoted_.row_version_);
+        std::int64_t version = claim_version(at);
         if (version > best_version)
         {
             best = i;
@@ -406,11 +418,7 @@
     const endpoint_state* best = nullptr;
     for (const auto& at : endpoints_)
     {
-        std::int64_t version = -1;
-        if (at->entry_.id_ == promoted_.endpoint_id_)
-            version = promoted_.row_version_;
-        if (at->entry_.primary_)
-            version = std::max(version, at->entry_.row_version_);
+        std::int64_t version = claim_version(*at);
         if (version > best_version)
         {
             best = at.get();
--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -203,6 +203,7 @@
     };
 
     endpoint_state* state_of(const endpoint_link& link);
+    std::int64_t claim_version(const endpoint_state& at) const;
     std::optional<std::size_t> primary_index(instant now) const;
     std::vector<endpoint_load> loads(const link_request& wanted, bool idle_only,
                                      instant now) const;
