One way to listen; a dropped link is uncounted

Cause: read as a newcomer: two copies of the set-up of a listener, parameters that are not used, and a group that counts its links by address relied on every link being closed before it is dropped. Change: listen_on; the link's end is told from its destructor, too.

--- a/node/endpoint_group.cc
+++ b/node/endpoint_group.cc
@@ -300,7 +300,7 @@
     {
         endpoint_state& at = *endpoints_[index];
         while (at.opening_ < count && may_open(at, now))
-            open_link(at, now);
+            open_link(at);
     }
     for (auto& [granted, link] : grants)
         granted(link);
@@ -359,7 +359,7 @@
 }
 
 void endpoint_group::on_answered(const link_ptr& link, instant asked,
-                                 instant now, const reply&)
+                                 instant now)
 {
     endpoint_state* at = state_of(*link);
     if (at == nullptr)
--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -126,8 +126,7 @@
 
     /// A write or a commit went out.
     void on_write_asked(const link_ptr& link, instant now);
-    void on_answered(const link_ptr& link, instant asked, instant now,
-                     const reply& got);
+    void on_answered(const link_ptr& link, instant asked, instant now);
     /// The endpoint turned work away.
     void on_busy(const link_ptr& link);
     /// `behind_ms`: how long the position it lacked had been known here.
@@ -211,7 +210,7 @@
                                       bool idle_only, instant now) const;
     bool may_open(const endpoint_state& at, instant now) const;
     bool may_work(const endpoint_state& at, instant now) const;
-    void open_link(endpoint_state& at, instant now);
+    void open_link(endpoint_state& at);
     void on_opened(const link_ptr& link, const result<reply>& first);
     link_ptr take_idle(endpoint_state& at, const session_values* session);
     void schedule_dispatch();
--- a/node/endpoint_group_upkeep.cc
+++ b/node/endpoint_group_upkeep.cc
@@ -20,7 +20,7 @@
 
 } // namespace
 
-void endpoint_group::open_link(endpoint_state& at, instant)
+void endpoint_group::open_link(endpoint_state& at)
 {
     ++at.opening_;
     auto link =
@@ -120,7 +120,7 @@
         std::size_t warm = std::min(options_.warm_links_, kept_links());
         while (at->listed_ && at->links_ + at->opening_ < warm &&
                may_open(*at, now) && at->avoided_until_ <= now)
-            open_link(*at, now);
+            open_link(*at);
     }
     end_late_links(now);
     renew_mark(now);
--- a/node/endpoint_link.cc
+++ b/node/endpoint_link.cc
@@ -17,6 +17,9 @@
 {
     if (stream_)
         stream_->close();
+    // Who counts its links by address must not keep this one.
+    if (on_close_)
+        on_close_();
 }
 
 void endpoint_link::open(reply_handler done)
--- a/node/statement_run.cc
+++ b/node/statement_run.cc
@@ -243,7 +243,7 @@
         return settle(attempt_failure::lost, std::nullopt, got.error().detail_);
     if (got->error_)
         return settle(failure_of(*got->error_), *got, got->text_);
-    group_->on_answered(link_, asked_, monotonic_now(), *got);
+    group_->on_answered(link_, asked_, monotonic_now());
     succeed(*got);
 }
 
--- a/node/traffic_front.cc
+++ b/node/traffic_front.cc
@@ -57,18 +57,9 @@
 
 result<void> traffic_front::start()
 {
-    auto at = parse_endpoint(options_.callers_address_);
-    if (!at)
-        return tl::unexpected(at.error());
-    io_error wrong;
-    acceptor_.open(at->protocol(), wrong);
-    acceptor_.set_option(boost::asio::socket_base::reuse_address(true), wrong);
-    acceptor_.bind(*at, wrong);
-    if (!wrong)
-        acceptor_.listen(boost::asio::socket_base::max_listen_connections,
-                         wrong);
-    if (wrong)
-        return fail(error_code::unavailable, "listen: " + wrong.message());
+    if (auto listens = listen_on(acceptor_, options_.callers_address_);
+        !listens)
+        return listens;
     accept_next();
     schedule_tick();
     return {};
--- a/transport/http_responder.cc
+++ b/transport/http_responder.cc
@@ -68,18 +68,8 @@
 
 result<void> http_responder::start(std::string_view address)
 {
-    auto at = parse_endpoint(address);
-    if (!at)
-        return tl::unexpected(at.error());
-    io_error wrong;
-    acceptor_.open(at->protocol(), wrong);
-    acceptor_.set_option(boost::asio::socket_base::reuse_address(true), wrong);
-    acceptor_.bind(*at, wrong);
-    if (!wrong)
-        acceptor_.listen(boost::asio::socket_base::max_listen_connections,
-                         wrong);
-    if (wrong)
-        return fail(error_code::unavailable, wrong.message());
+    if (auto listens = listen_on(acceptor_, address); !listens)
+        return listens;
     accept_next();
     return {};
 }
--- a/transport/socket_options.cc
+++ b/transport/socket_options.cc
@@ -28,6 +28,24 @@
     set_tcp_option(handle, TCP_KEEPCNT, bounds.probes_);
 }
 
+result<void> listen_on(boost::asio::ip::tcp::acceptor& acceptor,
+                       std::string_view address)
+{
+    auto at = parse_endpoint(address);
+    if (!at)
+        return tl::unexpected(at.error());
+    io_error wrong;
+    acceptor.open(at->protocol(), wrong);
+    acceptor.set_option(boost::asio::socket_base::reuse_address(true), wrong);
+    acceptor.bind(*at, wrong);
+    if (!wrong)
+        acceptor.listen(boost::asio::socket_base::max_listen_connections,
+                        wrong);
+    if (wrong)
+        return fail(error_code::unavailable, "listen: " + wrong.message());
+    return {};
+}
+
 result<boost::asio::ip::tcp::endpoint> parse_endpoint(std::string_view text)
 {
     std::size_t colon = text.rfind(':');
--- a/transport/socket_options.h
+++ b/transport/socket_options.h
@@ -34,6 +34,10 @@
 /// Sets what can be set; a socket without the options still works.
 void set_silence_bounds(tcp_socket& socket, const silence_bounds& bounds);
 
+/// Makes `acceptor` listen on IP:PORT. Errors: malformed, unavailable.
+result<void> listen_on(boost::asio::ip::tcp::acceptor& acceptor,
+                       std::string_view address);
+
 /// IP:PORT. Errors: malformed.
 result<boost::asio::ip::tcp::endpoint> parse_endpoint(std::string_view text);
 
