After a failure the store is asked for an answer at once

Ruled out: the history that was dropped meanwhile (410 lists the table again). Change: a watch after a failure does not wait; the next one does.

--- a/node/table_feed.cc
+++ b/node/table_feed.cc
@@ -8,6 +8,13 @@
 
 namespace tanagerspan
 {
+namespace
+{
+
+// The wait of a question that is to be answered whether rows changed or not.
+constexpr std::int64_t at_once_ms = 0;
+
+} // namespace
 
 table_feed::table_feed(boost::asio::io_context& loop, table_store& store,
                        options opts, change_handler changed)
@@ -55,14 +62,14 @@
             for (auto& row : got->rows_)
                 rows_[row.key_] = std::move(row);
             changed_(rows_);
-            watch();
+            watch(options_.wait_ms_);
         });
 }
 
-void table_feed::watch()
+void table_feed::watch(std::int64_t wait_ms)
 {
     store_.watch(
-        options_.table_, version_, options_.wait_ms_,
+        options_.table_, version_, wait_ms,
         [this, alive = std::weak_ptr<bool>(alive_)](result<table_snapshot> got)
         {
             if (alive.expired())
@@ -80,7 +87,7 @@
             }
             if (!got->rows_.empty())
                 changed_(rows_);
-            watch();
+            watch(options_.wait_ms_);
         });
 }
 
@@ -106,7 +113,7 @@
             if (relist)
                 list();
             else
-                watch();
+                watch(at_once_ms);
         });
 }
 
--- a/node/table_feed.h
+++ b/node/table_feed.h
@@ -6,7 +6,9 @@
 // The table is listed once, then its changes are awaited from the listed
 // version on. Where the store no longer has that history the table is listed
 // again: rows that are gone from the list count as removed. While the store
-// does not answer, the copy stays as it is, and attempts become rarer.
+// does not answer, the copy stays as it is, and attempts become rarer. After a
+// failure the store is asked for an answer at once: a question that it may hold
+// back tells only much later that it was never received.
 //
 // Control thread only.
 
@@ -66,7 +68,7 @@
 
 private:
     void list();
-    void watch();
+    void watch(std::int64_t wait_ms);
     void on_failure(const failure& why);
     void on_connected();
 
