--- a/node/session_fixture_test.h
+++ b/node/session_fixture_test.h
@@ -46,7 +46,7 @@
                            ended_ = true;
                            refused_ = partial_.error_.has_value();
                        }},
-                      [this](result<void> opened)
+                      [this](const result<void>& opened)
                       {
                           ended_ = !opened;
                       });
--- a/node/session_flow_test.cc
+++ b/node/session_flow_test.cc
@@ -274,6 +274,7 @@
             member->faults_ = nullptr;
         f.run_for(300);
         std::vector<std::unique_ptr<caller>> writers;
+        writers.reserve(6);
         for (int i = 0; i < 6; ++i)
             writers.push_back(f.open("own"));
         for (auto& one : writers)
