--- a/coordination/attempt_policy.h
+++ b/coordination/attempt_policy.h
@@ -14,7 +14,7 @@
 
 #include <string_view>
 
-#include "protocol/session_messages.h"
+#include "state/session_messages.h"
 
 namespace tanagerspan
 {
--- a/coordination/session_replay.h
+++ b/coordination/session_replay.h
@@ -19,7 +19,7 @@
 #include <string>
 #include <vector>
 
-#include "protocol/session_messages.h"
+#include "state/session_messages.h"
 
 namespace tanagerspan
 {
--- a/coordination/takeover.h
+++ b/coordination/takeover.h
@@ -31,8 +31,8 @@
 #include <string>
 #include <vector>
 
-#include "protocol/session_messages.h"
 #include "state/instant.h"
+#include "state/session_messages.h"
 
 namespace tanagerspan
 {
--- a/node/endpoint_link.h
+++ b/node/endpoint_link.h
@@ -20,9 +20,9 @@
 #include <string>
 
 #include "coordination/session_replay.h"
-#include "protocol/session_messages.h"
 #include "state/instant.h"
 #include "state/service_catalogue.h"
+#include "state/session_messages.h"
 #include "transport/byte_stream.h"
 
 namespace tanagerspan
--- a/stand_ins/session_endpoint.h
+++ b/stand_ins/session_endpoint.h
@@ -25,7 +25,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
-#include "protocol/session_messages.h"
+#include "state/session_messages.h"
 #include "transport/byte_stream.h"
 
 namespace tanagerspan
--- a/protocol/session_messages.cc
+++ b/state/session_messages.cc
@@ -1,4 +1,4 @@
-#include "protocol/session_messages.h"
+#include "state/session_messages.h"
 
 #include <array>
 #include <utility>
--- a/protocol/session_messages.h
+++ b/state/session_messages.h
@@ -1,5 +1,5 @@
-#ifndef TANAGERSPAN_PROTOCOL_SESSION_MESSAGES_H
-#define TANAGERSPAN_PROTOCOL_SESSION_MESSAGES_H
+#ifndef TANAGERSPAN_STATE_SESSION_MESSAGES_H
+#define TANAGERSPAN_STATE_SESSION_MESSAGES_H
 
 // Messages of database sessions, on both sides of a proxy, as types.
 //
