--- a/coordination/concurrency_window.h
+++ b/coordination/concurrency_window.h
@@ -4,7 +4,7 @@
 // How many statements one proxy has at one endpoint at a time.
 //
 // An endpoint works on a few statements and queues the rest, first in, first
-// out, blind to priorities and time limits. So work waits at the proxies, and
+// out, blind to priorities and timeouts. So work waits at the proxies, and
 // each offers an endpoint only what it answers without much queueing. The
 // proxies do not see each other's work; each follows the answer times: the
 // window grows by a part of a statement with every answer that took about as
--- a/coordination/wait_order.h
+++ b/coordination/wait_order.h
@@ -10,7 +10,7 @@
 // is served first, just after it became late.
 //
 // The load it answers: for seconds more work comes than an endpoint can do.
-// What has waited for half of its time limit while others are being served is
+// What has waited for half of its timeout while others are being served is
 // refused, so that its caller has the other half for another try. While nobody
 // is served, as between the loss of a primary and the next one, work waits for
 // its whole limit: it will be served as soon as anyone is.
--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -84,7 +84,7 @@
         /// Connections beyond the share, while there is work for them.
         std::size_t surplus_ = 2;
         /// No new work goes to an endpoint that has been leaving for this
-        /// long; the installation's bound is longer.
+        /// long; the drain period of endpoints is longer.
         std::int64_t leaving_ms_ = 6000;
         /// Connections that are set up at the same time: each takes a slot.
         std::size_t opening_ = 1;
--- a/node/statement_run.cc
+++ b/node/statement_run.cc
@@ -19,7 +19,7 @@
 // within it once it took effect.
 constexpr std::int64_t primary_retry_ms = 50;
 
-// Attempts of one statement at endpoints, over all reasons; the time limit
+// Attempts of one statement at endpoints, over all reasons; the timeout
 // usually ends it first.
 constexpr std::int64_t max_attempts = 20;
 
@@ -438,7 +438,7 @@
     if (phase_ == phase::finished)
         return;
     if (now >= deadline())
-        return settle(attempt_failure::expired, std::nullopt, "time limit");
+        return settle(attempt_failure::expired, std::nullopt, "timeout");
     bool waits = phase_ == phase::waiting && ticket_ != 0;
     if (waits &&
         is_hopeless(options_.arrived_, options_.route_.timeout_ms_,
--- a/node/traffic_front.h
+++ b/node/traffic_front.h
@@ -31,7 +31,7 @@
         std::string host_name_;
         std::string data_centre_;
         std::string callers_address_;
-        /// How often time limits are looked at: a fraction of the shortest
+        /// How often timeouts are looked at: a fraction of the shortest
         /// limit, and few enough wake-ups to cost nothing.
         std::int64_t tick_ms_ = 40;
         /// Callers still arrive for two probes after the first refusal.
--- a/protocol/catalogue_format.h
+++ b/protocol/catalogue_format.h
@@ -3,7 +3,7 @@
 
 // Where the outside keeps the operators' settings and the endpoints' entries,
 // and how their values read. A strategy object, so that the control side knows
-// tables and rows but no document of any installation.
+// tables and rows but no document of any deployment.
 
 #include <cstdint>
 #include <functional>
--- a/transport/http_channel.cc
+++ b/transport/http_channel.cc
@@ -55,7 +55,7 @@
             [self = shared_from_this(), exchange](io_error cancelled)
             {
                 if (!cancelled && self->exchange_ == exchange)
-                    self->finish_failed("time limit");
+                    self->finish_failed("timeout");
             });
         if (socket_.is_open())
             return write_request(exchange);
