A takeover that finds a leader releases the replicas it held

Ruled out: releasing after a promotion of our own, which releases by itself; and while an order may be under way, which would cut what the replica vouches for. Change: the release decision is one function, used by both ends. Test a_leader_that_appears_releases_the_others failed before (1 of 50), passes now; 50 passed.

--- a/coordination/takeover.cc
+++ b/coordination/takeover.cc
@@ -362,22 +362,32 @@
     return decided ? actions{} : give_up("an endpoint joined");
 }
 
-takeover::actions takeover::give_up(std::string why)
+takeover::actions takeover::releases(const std::string& leader) const
 {
+    // An order that may be under way would cut what a released replica
+    // vouches for from then on.
+    if (outcome_unknown_ || order_out_ || ordered_before_)
+        return {};
+    // A hold without an answer may have been carried out all the same.
+    bool holds_sent = phase_ != phase::inspecting;
     actions out;
-    bool under_way = outcome_unknown_ || order_out_ || ordered_before_;
-    for (member_state* one : replicas())
+    for (const auto& one : members_)
     {
-        if (under_way)
-            break;
-        // A hold without an answer may have been carried out all the same.
-        bool may_be_held =
-            phase_ != phase::inspecting && one->who_.id_ != target_;
+        const std::string& id = one.who_.id_;
+        if (id == leader || id == primary_id_)
+            continue;
+        bool may_be_held = holds_sent && id != target_;
         may_be_held =
-            may_be_held || one->held_ || one->status_.paused_by_term_ != 0;
+            may_be_held || one.held_ || one.status_.paused_by_term_ != 0;
         if (may_be_held)
-            out.push_back({kind::release, one->who_.id_, hold_term_});
+            out.push_back({kind::release, id, hold_term_});
     }
+    return out;
+}
+
+takeover::actions takeover::give_up(std::string why)
+{
+    actions out = releases("");
     phase_ = phase::finished;
     out.push_back({kind::finish, "", 0, std::move(why)});
     return out;
@@ -385,8 +395,12 @@
 
 takeover::actions takeover::finish(std::string leader, std::string why)
 {
+    // A promotion that is known to be ours has released the replicas itself.
+    bool promoted = phase_ == phase::ordering;
+    actions out = promoted ? actions{} : releases(leader);
     phase_ = phase::finished;
-    return {{kind::finish, std::move(leader), 0, std::move(why)}};
+    out.push_back({kind::finish, std::move(leader), 0, std::move(why)});
+    return out;
 }
 
 } // namespace tanagerspan
--- a/coordination/takeover.h
+++ b/coordination/takeover.h
@@ -13,15 +13,15 @@
 //     was carried out late. That costs writes the second of the promotion.
 //   - A primary that does not answer is left alone.
 //   - Then all replicas are held and the furthest is chosen. All have to
-//   answer;
-//     a log that can't be seen may hold what no other has.
+//     answer; a log that can't be seen may hold what no other has.
 //
 // An order may be carried out late. So the chosen endpoint is recorded before
 // the order goes out, and a later attempt names the same one as long as that
 // order may still be under way. The attempt acts only within its lease; after
 // a pause of the process it gives up, since another host may have taken over.
-// Replicas that were held are released when the attempt gives up, unless an
-// order may be under way: it would cut what they acknowledge from then on.
+// Replicas that were held are released when the attempt gives up or finds that
+// another endpoint leads, unless an order may be under way: it would cut what
+// they acknowledge from then on. A promotion releases them by itself.
 //
 // Pure: time and events in, actions out. Control thread only.
 
@@ -107,9 +107,8 @@
               instant now);
     /// The endpoint lives, but takes no connection or question now.
     std::vector<takeover_action>
-    on_refused(const std::string& id,
-               instant now); /// An endpoint joined the group: it may hold what
-                             /// no other has.
+    on_refused(const std::string& id, instant now);
+    /// An endpoint joined the group: it may hold what no other has.
     std::vector<takeover_action> on_joined();
     std::vector<takeover_action> on_recorded(bool recorded, instant now);
 
@@ -163,6 +162,8 @@
     std::optional<actions> end_early(bool alive);
     actions compare(instant now);
     actions judge_comparison(instant now);
+    /// Of all replicas that may be held, but the one that leads.
+    actions releases(const std::string& leader) const;
     actions give_up(std::string why);
     actions finish(std::string leader, std::string why);
     member_state* choose_target(bool held_only);
--- a/coordination/takeover_test.cc
+++ b/coordination/takeover_test.cc
@@ -117,6 +117,7 @@
     CPPUNIT_TEST(an_endpoint_that_joins_stops_an_attempt);
     CPPUNIT_TEST(a_leader_is_known_beside_a_hold_of_a_higher_term);
     CPPUNIT_TEST(a_leader_that_appears_ends_the_attempt);
+    CPPUNIT_TEST(a_leader_that_appears_releases_the_others);
     CPPUNIT_TEST(a_busy_primary_is_kept);
     CPPUNIT_TEST(an_order_that_may_travel_is_named_again);
     CPPUNIT_TEST(nothing_is_released_while_an_order_may_travel);
@@ -307,6 +308,36 @@
         CPPUNIT_ASSERT_EQUAL(std::string("b"), last.back().endpoint_id_);
     }
 
+    // Regression: a replica that an earlier attempt or this one held stayed
+    // held, and neither received nor vouched until the next takeover.
+    void a_leader_that_appears_releases_the_others()
+    {
+        endpoint_status held{
+            .term_ = 2, .received_ = {1, 5}, .paused_by_term_ = 2};
+        endpoint_status leads{
+            .primary_ = true, .term_ = 2, .received_ = {2, 6}};
+        for (bool before_holding : {true, false})
+        {
+            takeover attempt({}, takeover_reason::silent, "p",
+                             {{"p"}, {"a"}, {"b"}}, std::nullopt, instant{0});
+            attempt.start(instant{0});
+            attempt.on_status("p", std::nullopt, instant{1});
+            if (!before_holding)
+            {
+                endpoint_status free{.term_ = 1, .received_ = {1, 5}};
+                attempt.on_status("a", free, instant{1});
+                attempt.on_status("b", free, instant{1});
+            }
+            attempt.on_status("a", held, instant{2});
+            auto last = attempt.on_status("b", leads, instant{2});
+            CPPUNIT_ASSERT(attempt.finished());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, last.size());
+            CPPUNIT_ASSERT(last.front().kind_ == kind::release);
+            CPPUNIT_ASSERT_EQUAL(std::string("a"), last.front().endpoint_id_);
+            CPPUNIT_ASSERT_EQUAL(std::string("b"), last.back().endpoint_id_);
+        }
+    }
+
     // Regression: members with no connection left were taken for dead, and
     // held in a term that was too low.
     void a_busy_primary_is_kept()
