--- /dev/null
+++ b/coordination/home_plan_test.cc
@@ -0,0 +1,149 @@
+// Tests of homes: fleets of all sizes, with few and many connections.
+
+#include <algorithm>
+#include <set>
+
+#include "coordination/home_plan.h"
+#include "testing/check.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+std::vector<fleet_host> fleet(int hosts, int data_centres)
+{
+    std::vector<fleet_host> out;
+    for (int i = 0; i < hosts; ++i)
+    {
+        std::string n = std::to_string(i);
+        out.push_back({"h" + n, "dc" + std::to_string(i % data_centres),
+                       "127.0.0.1:" + std::to_string(7000 + i)});
+    }
+    return out;
+}
+
+std::map<std::string, service_capacity> services(int count,
+                                                 service_capacity each)
+{
+    std::map<std::string, service_capacity> out;
+    for (int i = 0; i < count; ++i)
+        out["s" + std::to_string(i)] = each;
+    return out;
+}
+
+class home_plan_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(home_plan_test);
+    CPPUNIT_TEST(a_small_fleet_has_only_homes);
+    CPPUNIT_TEST(connections_and_slots_bound_the_homes);
+    CPPUNIT_TEST(homes_are_spread_over_data_centres);
+    CPPUNIT_TEST(all_hosts_agree_on_the_homes);
+    CPPUNIT_TEST(the_load_of_homes_is_even);
+    CPPUNIT_TEST(a_lost_host_moves_only_its_own_part);
+    CPPUNIT_TEST_SUITE_END();
+
+    void a_small_fleet_has_only_homes()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, home_count({34, 15}, 8));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, home_count({38, 9}, 6));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{100}, home_count({0, 9}, 100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, home_count({34, 15}, 0));
+    }
+
+    // The load: 61 hosts before members with 48 connections. Whatever the
+    // sizes, the homes' connections and at least one a home fit together.
+    void connections_and_slots_bound_the_homes()
+    {
+        for (std::int64_t connections : {1, 4, 10, 34, 48, 156, 1000})
+        {
+            for (std::int64_t slots : {0, 1, 3, 9, 18, 90})
+            {
+                for (int hosts : {1, 2, 8, 61, 300})
+                {
+                    auto plan = plan_homes(fleet(1, 1)[0], fleet(hosts, 3),
+                                           services(1, {connections, slots}));
+                    const auto& at = plan.at("s0");
+                    CPPUNIT_ASSERT(!at.claims_.empty());
+                    auto homes = static_cast<std::int64_t>(at.claims_.size());
+                    auto share = static_cast<std::int64_t>(at.share_);
+                    CPPUNIT_ASSERT(share >= 1);
+                    CPPUNIT_ASSERT(homes * share <= connections);
+                    if (slots > 0)
+                        CPPUNIT_ASSERT(homes <= slots);
+                }
+            }
+        }
+    }
+
+    void homes_are_spread_over_data_centres()
+    {
+        auto homes = choose_homes("s", fleet(61, 3), 14);
+        std::map<std::string, int> in;
+        for (const auto& home : homes)
+            ++in[home.data_centre_];
+        CPPUNIT_ASSERT_EQUAL(std::size_t{14}, homes.size());
+        for (const auto& [data_centre, count] : in)
+            CPPUNIT_ASSERT(count == 4 || count == 5);
+        auto route = homes_for(fleet(61, 3)[1], "s", homes);
+        CPPUNIT_ASSERT_EQUAL(homes.size(), route.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("dc1"), route.front().data_centre_);
+        CPPUNIT_ASSERT(route.back().data_centre_ != "dc1");
+    }
+
+    void all_hosts_agree_on_the_homes()
+    {
+        auto hosts = fleet(61, 3);
+        auto all = services(8, {48, 18});
+        auto first = plan_homes(hosts[0], hosts, all);
+        std::reverse(hosts.begin(), hosts.end());
+        for (const auto& own : hosts)
+        {
+            auto plan = plan_homes(own, hosts, all);
+            for (const auto& [name, at] : plan)
+            {
+                CPPUNIT_ASSERT(at.claims_ == first.at(name).claims_);
+                bool listed = std::find(at.claims_.begin(), at.claims_.end(),
+                                        own) != at.claims_.end();
+                CPPUNIT_ASSERT_EQUAL(listed, at.own_);
+            }
+        }
+    }
+
+    void the_load_of_homes_is_even()
+    {
+        auto hosts = fleet(300, 3);
+        std::map<std::string, int> asked;
+        for (const auto& own : hosts)
+        {
+            auto plan = plan_homes(own, hosts, services(1, {48, 18}));
+            ++asked[plan.at("s0").route_.front().name_];
+        }
+        // 15 homes, 20 hosts each on average.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{15}, asked.size());
+        for (const auto& [home, count] : asked)
+            CPPUNIT_ASSERT(count >= 8 && count <= 40);
+    }
+
+    void a_lost_host_moves_only_its_own_part()
+    {
+        auto hosts = fleet(61, 3);
+        auto before = choose_homes("s", hosts, 15);
+        auto fewer = hosts;
+        std::erase(fewer, before[3]);
+        auto after = choose_homes("s", fewer, 15);
+        std::set<std::string> kept;
+        for (const auto& home : after)
+            kept.insert(home.name_);
+        std::size_t missing = 0;
+        for (const auto& home : before)
+            missing += kept.contains(home.name_) ? 0 : 1;
+        // The lost one, and at most one that moves between data centres.
+        CPPUNIT_ASSERT(missing <= 2);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(home_plan_test);
+
+} // namespace
+} // namespace tanagerspan
--- a/daemons/tanager_edge_main.cc
+++ b/daemons/tanager_edge_main.cc
@@ -49,7 +49,8 @@
           front_(traffic_, {.codec_ = &codec_,
                             .host_name_ = settings_.host_name_,
                             .data_centre_ = settings_.data_centre_,
-                            .callers_address_ = settings_.callers_address_}),
+                            .callers_address_ = settings_.callers_address_,
+                            .peers_address_ = settings_.peers_address()}),
           probes_(traffic_,
                   [this](std::string_view, std::string_view target)
                   {
@@ -70,44 +71,44 @@
 
     fleet_control::options control_options() const
     {
-        return {.host_name_ = settings_.host_name_,
-                .data_centre_ = settings_.data_centre_,
+        return {.own_ = {settings_.host_name_, settings_.data_centre_,
+                         settings_.peers_address()},
                 .format_ = platform::catalogue(),
                 .codec_ = &codec_};
     }
 
     fleet_control::outputs control_outputs()
     {
-        return {
-            .routes_ =
-                [this](const route_table_ptr& routes)
-            {
-                boost::asio::post(traffic_,
-                                  [this, routes]
-                                  {
-                                      front_.set_routes(routes);
-                                  });
-            },
-            .endpoints_ =
-                [this](const endpoint_list_ptr& endpoints, std::size_t proxies)
-            {
-                boost::asio::post(traffic_,
-                                  [this, endpoints, proxies]
-                                  {
-                                      front_.set_endpoints(endpoints, proxies);
-                                  });
-            },
-            .promoted_ =
-                [this](const std::string& service, const std::string& endpoint,
-                       std::int64_t version)
-            {
-                boost::asio::post(
-                    traffic_,
-                    [this, service, endpoint, version]
-                    {
-                        front_.set_promotion(service, {endpoint, version});
-                    });
-            }};
+        return {.routes_ =
+                    [this](const route_table_ptr& routes)
+                {
+                    boost::asio::post(traffic_,
+                                      [this, routes]
+                                      {
+                                          front_.set_routes(routes);
+                                      });
+                },
+                .endpoints_ =
+                    [this](const endpoint_list_ptr& endpoints,
+                           const home_plan_ptr& plan)
+                {
+                    boost::asio::post(traffic_,
+                                      [this, endpoints, plan]
+                                      {
+                                          front_.set_endpoints(endpoints, plan);
+                                      });
+                },
+                .promoted_ =
+                    [this](const std::string& service,
+                           const std::string& endpoint, std::int64_t version)
+                {
+                    boost::asio::post(
+                        traffic_,
+                        [this, service, endpoint, version]
+                        {
+                            front_.set_promotion(service, {endpoint, version});
+                        });
+                }};
     }
 
     http_reply answer_probe(std::string_view target)
@@ -205,7 +206,8 @@
         return usage(settings.error());
     for (const std::string& address :
          {settings->store_address_, settings->promotion_address_,
-          settings->callers_address_, settings->readiness_address_})
+          settings->callers_address_, settings->readiness_address_,
+          settings->peers_address()})
     {
         if (auto parsed = parse_endpoint(address); !parsed)
             return usage(parsed.error());
--- a/node/caller_session.cc
+++ b/node/caller_session.cc
@@ -222,7 +222,7 @@
 {
     begin_.reset();
     if (open_)
-        group_->roll_back(open_->link_, monotonic_now());
+        gateway_->roll_back(*open_, monotonic_now());
     open_.reset();
     answer_done();
 }
@@ -237,16 +237,16 @@
         route_ = *route;
     }
     if (!open_)
-        group_ = around_.group_of_(route_.service_);
-    if (!group_)
+        gateway_ = around_.gateway_of_(route_.service_);
+    if (!gateway_)
         return refuse(reply_error::busy, "no endpoint is known");
-    statement_run::options opts{.what_ = what,
-                                .writes_ = what.writes_,
-                                .begin_ = begin_,
-                                .transaction_ = open_,
-                                .route_ = route_,
-                                .arrived_ = monotonic_now(),
-                                .session_ = &context_};
+    run_options opts{.what_ = what,
+                     .writes_ = what.writes_,
+                     .begin_ = begin_,
+                     .transaction_ = open_,
+                     .route_ = route_,
+                     .arrived_ = monotonic_now(),
+                     .session_ = &context_};
     if (what.kind_ == statement_kind::execute)
     {
         opts.shape_ = context_.values_.prepared_.at(what.name_);
@@ -255,13 +255,13 @@
     instant arrived = opts.arrived_;
     bool writes = opts.writes_;
     auto weak = weak_from_this();
-    run_ = std::make_shared<statement_run>(
-        group_, std::move(opts),
-        [weak, what, writes, arrived](run_outcome outcome)
-        {
-            if (auto self = weak.lock())
-                self->on_outcome(what, writes, arrived, std::move(outcome));
-        });
+    run_ = gateway_->make_run(std::move(opts),
+                              [weak, what, writes, arrived](run_outcome outcome)
+                              {
+                                  if (auto self = weak.lock())
+                                      self->on_outcome(what, writes, arrived,
+                                                       std::move(outcome));
+                              });
     auto running = run_;
     running->start();
 }
@@ -287,7 +287,7 @@
     if (open_ && outcome.answer_.state_ == transaction_state::failed)
     {
         // Nothing of it will be kept: the connection is free for others.
-        group_->roll_back(open_->link_, monotonic_now());
+        gateway_->roll_back(*open_, monotonic_now());
         open_.reset();
         failed_ = true;
     }
@@ -340,7 +340,7 @@
         return;
     begin_.reset();
     if (open_)
-        group_->roll_back(open_->link_, monotonic_now());
+        gateway_->roll_back(*open_, monotonic_now());
     open_.reset();
     failed_ = true;
 }
@@ -360,7 +360,7 @@
     if (auto running = std::exchange(run_, nullptr))
         running->abandon();
     else if (open_)
-        group_->roll_back(open_->link_, monotonic_now());
+        gateway_->roll_back(*open_, monotonic_now());
     open_.reset();
     // What was sent still reaches the caller before the end.
     if (stream_->is_open())
--- a/node/caller_session.h
+++ b/node/caller_session.h
@@ -7,7 +7,7 @@
 // Statements are taken one at a time, in order. What needs no endpoint is
 // answered here: begin (which goes out with the first statement), set,
 // prepare, deallocate and rollback. The rest is taken to an endpoint by a
-// statement_run, on the transaction's connection if there is one.
+// caller_run, on the transaction's connection if there is one.
 //
 // A transaction whose connection broke, that was refused, or that rested for
 // too long is failed: it keeps nothing, and only its end is accepted.
@@ -21,7 +21,8 @@
 #include <optional>
 #include <string>
 
-#include "node/statement_run.h"
+#include "node/caller_run.h"
+#include "node/service_gateway.h"
 #include "state/latency_histograms.h"
 
 namespace tanagerspan
@@ -44,8 +45,8 @@
     session_counters* counters_ = nullptr;
     /// The route of a database; null while there is none, or no table.
     std::function<const database_route*(const std::string&)> route_of_;
-    std::function<std::shared_ptr<endpoint_group>(const std::string&)>
-        group_of_;
+    std::function<std::shared_ptr<service_gateway>(const std::string&)>
+        gateway_of_;
     std::function<bool()> has_routes_;
     std::function<std::int64_t()> transaction_idle_ms_;
 };
@@ -109,8 +110,8 @@
     std::optional<statement_kind> begin_; ///< answered, but not sent yet
     std::optional<pinned_transaction> open_;
     bool failed_ = false;
-    std::shared_ptr<endpoint_group> group_;
-    std::shared_ptr<statement_run> run_;
+    std::shared_ptr<service_gateway> gateway_;
+    std::shared_ptr<caller_run> run_;
     instant last_active_ = never;
 };
 
--- a/node/endpoint_group.cc
+++ b/node/endpoint_group.cc
@@ -30,12 +30,19 @@
 
 endpoint_group::~endpoint_group()
 {
-    *alive_ = false;
+    // From here on no handler of a link touches the group.
+    alive_.reset();
+    for (auto& at : endpoints_)
+    {
+        for (endpoint_link* link : std::exchange(at->all_, {}))
+            link->close({error_code::leaving, "the group ends"});
+    }
 }
 
 void endpoint_group::set_endpoints(const endpoint_list& endpoints,
                                    std::size_t share, instant now)
 {
+    is_home_ = share > 0;
     share_ = std::max<std::size_t>(share, 1);
     for (auto& at : endpoints_)
         at->window_.set_most(static_cast<double>(share_ + options_.surplus_));
@@ -190,8 +197,8 @@
 
 bool endpoint_group::may_open(const endpoint_state& at, instant now) const
 {
-    std::size_t most =
-        share_ + (at.no_surplus_until_ <= now ? options_.surplus_ : 0);
+    bool surplus = is_home_ && at.no_surplus_until_ <= now;
+    std::size_t most = share_ + (surplus ? options_.surplus_ : 0);
     return may_work(at, now) && at.full_until_ <= now &&
            at.opening_ < options_.opening_ &&
            at.window_.has_room(running_at(at)) &&
--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -107,7 +107,8 @@
     endpoint_group(boost::asio::io_context& loop, options opts);
     ~endpoint_group();
 
-    /// `share`: connections to one endpoint that this proxy may always have.
+    /// `share`: connections to one endpoint that this proxy may always have;
+    /// 0: it is no home of the service and opens one only for work at hand.
     void set_endpoints(const endpoint_list& endpoints, std::size_t share,
                        instant now);
     void set_promotion(promotion_record record);
@@ -217,7 +218,7 @@
     void dispatch();
     std::size_t kept_links() const
     {
-        return (share_ + 1) / 2;
+        return is_home_ ? (share_ + 1) / 2 : 0;
     }
     void close_surplus(endpoint_state& at, instant now);
     void end_late_links(instant now);
@@ -228,6 +229,7 @@
     boost::asio::io_context& loop_;
     options options_;
     std::size_t share_ = 1;
+    bool is_home_ = true;
     std::vector<std::unique_ptr<endpoint_state>> endpoints_;
     std::list<waiting_work> waiting_;
     std::vector<limited_link> abandoned_; ///< given back once answered
--- a/node/endpoint_group_upkeep.cc
+++ b/node/endpoint_group_upkeep.cc
@@ -52,8 +52,11 @@
         at->all_.push_back(link.get());
         at->unreachable_ = false;
         at->last_answer_ = now;
-        link->on_reply_ = [this, raw = link.get()](const reply& got)
+        std::weak_ptr<bool> alive = alive_;
+        link->on_reply_ = [this, alive, raw = link.get()](const reply& got)
         {
+            if (alive.expired())
+                return;
             if (endpoint_state* state = state_of(*raw))
             {
                 state->last_answer_ = monotonic_now();
@@ -63,8 +66,10 @@
                     state->known_ = std::max(state->known_, *got.position_);
             }
         };
-        link->on_close_ = [this, raw = link.get()]
+        link->on_close_ = [this, alive, raw = link.get()]
         {
+            if (alive.expired())
+                return;
             if (endpoint_state* state = state_of(*raw))
             {
                 --state->links_;
--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -11,10 +11,6 @@
 namespace
 {
 
-// A registration that failed is tried again after this; only the shares of
-// connections depend on it.
-constexpr std::int64_t register_retry_ms = 1000;
-
 table_feed::options feed_of(const std::string& table, std::uint64_t seed)
 {
     return {.table_ = table, .seed_ = seed};
@@ -37,10 +33,10 @@
                  {
                      on_endpoints(current);
                  }),
-      hosts_(loop, store, feed_of(hosts_table, options_.seed_),
-             [this](const rows& current)
+      hosts_(loop, store, {.table_ = hosts_table, .own_ = options_.own_},
+             [this](const std::vector<fleet_host>& live)
              {
-                 on_hosts(current);
+                 on_hosts(live);
              }),
       promotions_(loop, store, feed_of(promotions_table, options_.seed_),
                   [this](const rows& current)
@@ -48,7 +44,7 @@
                       on_promotions(current);
                   }),
       takeovers_(loop, store, gate,
-                 {.host_name_ = options_.host_name_,
+                 {.host_name_ = options_.own_.name_,
                   .table_ = promotions_table,
                   .codec_ = options_.codec_},
                  [this](const std::string& service, const std::string& leader,
@@ -56,7 +52,7 @@
                  {
                      outputs_.promoted_(service, leader, version);
                  }),
-      register_timer_(loop), expiry_timer_(loop)
+      expiry_timer_(loop)
 {
 }
 
@@ -66,30 +62,6 @@
     endpoints_.start();
     hosts_.start();
     promotions_.start();
-    register_host();
-}
-
-void fleet_control::register_host()
-{
-    if (leaving_)
-        return;
-    table_transaction change{.put_ = {{.table_ = hosts_table,
-                                       .key_ = options_.host_name_,
-                                       .value_ = options_.data_centre_}}};
-    store_.transact(change,
-                    [this](const result<transaction_answer>& got)
-                    {
-                        if (got)
-                            return;
-                        register_timer_.expires_after(
-                            std::chrono::milliseconds(register_retry_ms));
-                        register_timer_.async_wait(
-                            [this](io_error cancelled)
-                            {
-                                if (!cancelled)
-                                    register_host();
-                            });
-                    });
 }
 
 void fleet_control::on_health(const std::string& service,
@@ -100,14 +72,7 @@
 
 void fleet_control::leave(std::function<void()> done)
 {
-    leaving_ = true;
-    table_transaction change{
-        .removed_ = {{.table_ = hosts_table, .key_ = options_.host_name_}}};
-    store_.transact(change,
-                    [done = std::move(done)](const result<transaction_answer>&)
-                    {
-                        done();
-                    });
+    hosts_.leave(std::move(done));
 }
 
 void fleet_control::on_settings(const rows& current)
@@ -122,10 +87,15 @@
                  {{"detail", table.error().detail_}});
         return;
     }
-    if (table->version_ <= routes_version_)
+    if (routes_ && table->version_ <= routes_->version_)
         return;
-    routes_version_ = table->version_;
-    outputs_.routes_(std::make_shared<const route_table>(std::move(*table)));
+    bool first = !routes_;
+    routes_ = std::make_shared<const route_table>(std::move(*table));
+    outputs_.routes_(routes_);
+    // Homes depend on the services' limits, which seldom change: later
+    // versions show with the next change of endpoints or hosts.
+    if (first)
+        publish_endpoints();
 }
 
 void fleet_control::on_endpoints(const rows& current)
@@ -168,8 +138,10 @@
                   });
     for (const auto& [id, entry] : known_)
         list->push_back(entry);
+    auto plan = std::make_shared<const home_plan>(make_plan());
     takeovers_.set_endpoints(*list);
-    outputs_.endpoints_(std::move(list), proxies_);
+    takeovers_.set_claims(*plan, live_);
+    outputs_.endpoints_(std::move(list), std::move(plan));
     if (!missing_since_.empty())
         schedule_expiry();
 }
@@ -186,13 +158,22 @@
         });
 }
 
-void fleet_control::on_hosts(const rows& current)
+home_plan fleet_control::make_plan() const
+{
+    std::map<std::string, service_capacity> services;
+    if (routes_)
+    {
+        for (const auto& [name, limits] : routes_->services_)
+            services[name].connections_ = limits.max_connections_;
+    }
+    for (const auto& [id, entry] : known_)
+        services[entry.service_].slots_ += entry.slots_;
+    return plan_homes(options_.own_, live_, services);
+}
+
+void fleet_control::on_hosts(const std::vector<fleet_host>& live)
 {
-    proxies_ = std::max<std::size_t>(current.size(), 1);
-    std::vector<std::string> names;
-    for (const auto& [name, row] : current)
-        names.push_back(name);
-    takeovers_.set_hosts(std::move(names));
+    live_ = live;
     publish_endpoints();
 }
 
--- a/node/fleet_control.h
+++ b/node/fleet_control.h
@@ -4,9 +4,10 @@
 // The control side of a proxy: what it learns from the store, on one thread.
 //
 // Three tables are followed: the operators' settings, the endpoints' entries
-// and the fleet's own rows, which hold the live hosts and the promotions. From
-// them come immutable values for the traffic side. A version of the settings
-// lower than one already taken is never handed on, whatever the store says.
+// and the fleet's promotions; the live hosts are read now and then. From them
+// come immutable values for the traffic side, the plan of homes among them. A
+// version of the settings lower than one already taken is never handed on,
+// whatever the store says.
 //
 // Control thread only; handlers of `outputs` are called on it.
 
@@ -19,6 +20,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "coordination/home_plan.h"
+#include "node/host_directory.h"
 #include "node/table_feed.h"
 #include "node/takeover_driver.h"
 #include "protocol/catalogue_format.h"
@@ -33,8 +36,7 @@
 public:
     struct options
     {
-        std::string host_name_;
-        std::string data_centre_;
+        fleet_host own_;
         catalogue_format format_;
         /// An endpoint whose entry went away is kept this long: entries lapse
         /// while the store is away and are back within about two seconds.
@@ -45,7 +47,7 @@
     struct outputs
     {
         std::function<void(route_table_ptr)> routes_;
-        std::function<void(endpoint_list_ptr, std::size_t proxies)> endpoints_;
+        std::function<void(endpoint_list_ptr, home_plan_ptr)> endpoints_;
         /// Service, the endpoint that was promoted, the row's version.
         std::function<void(const std::string&, const std::string&,
                            std::int64_t)>
@@ -70,10 +72,10 @@
 private:
     using rows = std::map<std::string, table_row>;
 
-    void register_host();
     void on_settings(const rows& current);
     void on_endpoints(const rows& current);
-    void on_hosts(const rows& current);
+    void on_hosts(const std::vector<fleet_host>& live);
+    home_plan make_plan() const;
     void on_promotions(const rows& current);
     void publish_endpoints();
     void schedule_expiry();
@@ -83,16 +85,14 @@
     outputs outputs_;
     table_feed settings_;
     table_feed endpoints_;
-    table_feed hosts_;
+    host_directory hosts_;
     table_feed promotions_;
     takeover_driver takeovers_;
-    boost::asio::steady_timer register_timer_;
     boost::asio::steady_timer expiry_timer_;
-    std::int64_t routes_version_ = 0;
     std::map<std::string, endpoint_entry> known_;
     std::map<std::string, instant> missing_since_;
-    std::size_t proxies_ = 1;
-    bool leaving_ = false;
+    std::vector<fleet_host> live_;
+    route_table_ptr routes_;
 };
 
 } // namespace tanagerspan
--- /dev/null
+++ b/node/home_flow_test.cc
@@ -0,0 +1,286 @@
+// Tests of statements that go through homes: homes that die, leave, turn
+// silent or don't serve a service, and proxies that go away meanwhile.
+
+#include <algorithm>
+
+#include "node/session_fixture_test.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+/// Two homes and a proxy that is none, to which the callers talk.
+struct homes_fixture : fixture
+{
+    fleet_host second_{"second", "b", free_address(loop_)};
+    std::unique_ptr<traffic_front> second_front_;
+
+    homes_fixture()
+    {
+        second_front_ = start_front(second_);
+        publish_to(*second_front_, {.own_ = true, .share_ = 9});
+        edge_ = start_front({"edge", "a", ""});
+        publish_to(*edge_, {.route_ = {home_, second_}});
+        run_for(100);
+    }
+
+    std::size_t writes() const
+    {
+        std::size_t count = 0;
+        for (const auto& member : members_)
+        {
+            for (const auto& ran : member->ran_)
+                count += ran.what_.kind_ == statement_kind::write ? 1 : 0;
+        }
+        return count;
+    }
+
+    /// Members take this long for a statement of this kind.
+    void delay(statement_kind kind, std::int64_t ms)
+    {
+        for (auto& member : members_)
+        {
+            member->faults_ = [kind, ms](const statement& what)
+                -> std::optional<session_endpoint::fault>
+            {
+                if (what.kind_ != kind)
+                    return std::nullopt;
+                return session_endpoint::fault{.delay_ms_ = ms};
+            };
+        }
+    }
+};
+
+class home_flow_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(home_flow_test);
+    CPPUNIT_TEST(a_proxy_that_is_no_home_opens_no_connection);
+    CPPUNIT_TEST(a_read_moves_on_when_its_home_dies);
+    CPPUNIT_TEST(a_write_at_a_home_that_dies_is_in_doubt_and_runs_once);
+    CPPUNIT_TEST(a_transaction_at_a_home_that_dies_is_aborted);
+    CPPUNIT_TEST(a_home_that_leaves_finishes_and_gets_nothing_new);
+    CPPUNIT_TEST(a_silent_home_is_passed_over);
+    CPPUNIT_TEST(without_a_home_the_proxy_serves_itself);
+    CPPUNIT_TEST(a_home_without_the_service_ran_nothing);
+    CPPUNIT_TEST(what_a_lost_proxy_left_open_is_rolled_back);
+    CPPUNIT_TEST(an_abandoned_statement_ends_its_transaction);
+    CPPUNIT_TEST(bad_frames_end_the_link_and_nothing_else);
+    CPPUNIT_TEST_SUITE_END();
+
+    void a_proxy_that_is_no_home_opens_no_connection()
+    {
+        fixture f(true);
+        std::size_t before = 0;
+        for (const auto& member : f.members_)
+            before += member->opened_;
+        auto user = f.open("own");
+        for (int i = 0; i < 10; ++i)
+            CPPUNIT_ASSERT(!f.ask(*user, "READ a").error_);
+        f.run_for(200);
+        // The home keeps its warm ones; the other proxy adds none.
+        std::size_t after = 0;
+        for (const auto& member : f.members_)
+            after += member->opened_;
+        CPPUNIT_ASSERT(after <= before + 3);
+    }
+
+    void a_read_moves_on_when_its_home_dies()
+    {
+        homes_fixture f;
+        auto user = f.open("bounded");
+        CPPUNIT_ASSERT(!f.ask(*user, "READ a").error_);
+        f.delay(statement_kind::read, 100);
+        user->query("READ b");
+        f.run_for(30);
+        f.front_.reset();
+        CPPUNIT_ASSERT(f.until(
+            [&]
+            {
+                return user->replies_.size() == 3;
+            }));
+        CPPUNIT_ASSERT(!user->replies_.back().error_);
+    }
+
+    void a_write_at_a_home_that_dies_is_in_doubt_and_runs_once()
+    {
+        homes_fixture f;
+        auto user = f.open("own");
+        f.ask(*user, "READ a");
+        f.delay(statement_kind::write, 100);
+        user->query("WRITE a 1");
+        f.run_for(30);
+        f.front_.reset();
+        CPPUNIT_ASSERT(f.until(
+            [&]
+            {
+                return user->replies_.size() == 3;
+            }));
+        CPPUNIT_ASSERT(user->replies_.back().error_ == reply_error::in_doubt);
+        CPPUNIT_ASSERT(!f.ask(*user, "READ a").error_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.writes());
+    }
+
+    void a_transaction_at_a_home_that_dies_is_aborted()
+    {
+        homes_fixture f;
+        auto user = f.open("own");
+        f.ask(*user, "BEGIN");
+        CPPUNIT_ASSERT(!f.ask(*user, "WRITE a 1").error_);
+        f.front_.reset();
+        f.run_for(20);
+        reply got = f.ask(*user, "WRITE b 1");
+        CPPUNIT_ASSERT(got.error_ == reply_error::aborted);
+        CPPUNIT_ASSERT(got.state_ == transaction_state::failed);
+        CPPUNIT_ASSERT(!f.ask(*user, "ROLLBACK").error_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.writes());
+        CPPUNIT_ASSERT(!f.ask(*user, "READ a").error_);
+    }
+
+    void a_home_that_leaves_finishes_and_gets_nothing_new()
+    {
+        homes_fixture f;
+        auto user = f.open("own");
+        f.ask(*user, "BEGIN");
+        CPPUNIT_ASSERT(!f.ask(*user, "WRITE a 1").error_);
+        bool drained = false;
+        f.front_->drain(5000,
+                        [&drained]
+                        {
+                            drained = true;
+                        });
+        f.run_for(50);
+        auto other = f.open("own");
+        CPPUNIT_ASSERT(!f.ask(*other, "READ a").error_);
+        CPPUNIT_ASSERT(!drained);
+        CPPUNIT_ASSERT(f.second_front_->metrics().find(
+                           "tanager_peer_runs_total 1") != std::string::npos);
+        CPPUNIT_ASSERT(!f.ask(*user, "COMMIT").error_);
+        instant end = monotonic_now() + 4000;
+        while (!drained && monotonic_now() < end)
+            f.run_for(20);
+        CPPUNIT_ASSERT(drained);
+    }
+
+    void a_silent_home_is_passed_over()
+    {
+        homes_fixture f;
+        boost::asio::ip::tcp::acceptor mute(
+            f.loop_, {boost::asio::ip::address_v4::loopback(), 0});
+        fleet_host silent{"silent", "a",
+                          "127.0.0.1:" +
+                              std::to_string(mute.local_endpoint().port())};
+        f.publish_to(*f.edge_, {.route_ = {silent, f.second_}});
+        f.run_for(100);
+        for (auto& [name, route] : f.routes_->by_database_)
+            CPPUNIT_ASSERT(route.timeout_ms_ == 400);
+        auto user = f.open("own");
+        // A write waits for its limit and promises nothing; the next goes on.
+        reply got = f.ask(*user, "WRITE a 1");
+        CPPUNIT_ASSERT(got.error_ == reply_error::timeout);
+        CPPUNIT_ASSERT(!f.ask(*user, "WRITE a 2").error_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.writes());
+    }
+
+    void without_a_home_the_proxy_serves_itself()
+    {
+        homes_fixture f;
+        f.front_.reset();
+        f.second_front_.reset();
+        f.run_for(50);
+        auto user = f.open("own");
+        CPPUNIT_ASSERT(!f.ask(*user, "READ a").error_);
+        CPPUNIT_ASSERT(!f.ask(*user, "WRITE a 1").error_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.writes());
+    }
+
+    void a_home_without_the_service_ran_nothing()
+    {
+        homes_fixture f;
+        fleet_host fresh{"fresh", "a", fixture::free_address(f.loop_)};
+        auto routes = std::exchange(f.routes_, std::make_shared<route_table>());
+        std::string callers = f.address_;
+        auto fresh_front = f.start_front(fresh); // has no routes
+        f.address_ = callers;
+        f.publish_to(*f.edge_, {.route_ = {fresh, f.second_}});
+        f.run_for(100);
+        auto user = f.open("own");
+        CPPUNIT_ASSERT(!f.ask(*user, "WRITE a 1").error_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.writes());
+    }
+
+    void what_a_lost_proxy_left_open_is_rolled_back()
+    {
+        homes_fixture f;
+        auto user = f.open("own");
+        f.ask(*user, "BEGIN");
+        CPPUNIT_ASSERT(!f.ask(*user, "WRITE a 1").error_);
+        f.edge_.reset();
+        CPPUNIT_ASSERT(f.until(
+            [&]
+            {
+                return f.primary().asked_.back().kind_ ==
+                       statement_kind::rollback;
+            }));
+    }
+
+    // A caller leaves while a statement of its transaction runs at the home:
+    // the connection is not lent on with the transaction open.
+    void an_abandoned_statement_ends_its_transaction()
+    {
+        homes_fixture f;
+        auto user = f.open("own");
+        f.ask(*user, "BEGIN");
+        CPPUNIT_ASSERT(!f.ask(*user, "WRITE a 1").error_);
+        f.delay(statement_kind::read, 60);
+        user->query("READ b");
+        f.run_for(20);
+        user.reset();
+        f.run_for(200);
+        auto other = f.open("own");
+        for (int i = 0; i < 8; ++i)
+            CPPUNIT_ASSERT(!f.ask(*other, "WRITE later v").error_);
+        for (const auto& ran : f.primary().ran_)
+        {
+            if (ran.what_.arguments_ == "later v")
+                CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, ran.transaction_);
+        }
+    }
+
+    void bad_frames_end_the_link_and_nothing_else()
+    {
+        homes_fixture f;
+        auto user = f.open("own");
+        for (const std::string& bad :
+             {std::string("\xff\xff\xff\xff"), std::string("GET / HTTP/1.1"),
+              encode_frame({frame_type::gossip, 1, nullptr}),
+              encode_frame(
+                  {frame_type::run, 1, nlohmann::json::object({{"k", 99}})})})
+        {
+            bool ended = false;
+            auto stream = std::make_shared<byte_stream>(tcp_socket(f.loop_));
+            stream->open(*parse_endpoint(f.home_.peers_address_),
+                         {.on_input_ = [] {},
+                          .on_end_ =
+                              [&ended](const failure&)
+                          {
+                              ended = true;
+                          }},
+                         [&](const result<void>&)
+                         {
+                             stream->send(bad);
+                         });
+            CPPUNIT_ASSERT(f.until(
+                [&]
+                {
+                    return ended;
+                }));
+            CPPUNIT_ASSERT(!f.ask(*user, "READ a").error_);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(home_flow_test);
+
+} // namespace
+} // namespace tanagerspan
--- /dev/null
+++ b/node/host_directory.cc
@@ -0,0 +1,135 @@
+#include "node/host_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "transport/json_log.h"
+#include "transport/monotonic_clock.h"
+
+namespace tanagerspan
+{
+
+host_directory::host_directory(boost::asio::io_context& loop,
+                               table_store& store, options opts,
+                               change_handler changed)
+    : store_(store), options_(std::move(opts)), changed_(std::move(changed)),
+      timer_(loop), next_list_ms_(options_.first_list_ms_)
+{
+}
+
+host_directory::~host_directory()
+{
+    *alive_ = false;
+}
+
+void host_directory::start()
+{
+    list();
+}
+
+void host_directory::list()
+{
+    store_.list(
+        options_.table_,
+        [this, alive = std::weak_ptr<bool>(alive_)](result<table_snapshot> got)
+        {
+            if (alive.expired())
+                return;
+            if (got)
+                return on_list(*got);
+            connected_since_ = never;
+            schedule(options_.first_list_ms_);
+        });
+}
+
+bool host_directory::is_stale(const fleet_host_row& row,
+                              const table_snapshot& got) const
+{
+    constexpr std::int64_t renewals_to_see = 2;
+    bool all_could_renew = monotonic_now() - connected_since_ >=
+                           options_.renew_every_ms_ * renewals_to_see;
+    return all_could_renew && got.now_ms_ - row.seen_ms_ > options_.stale_ms_;
+}
+
+void host_directory::on_list(const table_snapshot& got)
+{
+    instant now = monotonic_now();
+    if (connected_since_ == never)
+        connected_since_ = now;
+    std::vector<fleet_host> live;
+    for (const auto& row : got.rows_)
+    {
+        auto known = decode_text<fleet_host_row>(row.value_);
+        if (!known)
+        {
+            log_line(log_level::error, "host_row_unusable",
+                     {{"host", row.key_}, {"detail", known.error().detail_}});
+            continue;
+        }
+        if (row.key_ != options_.own_.name_ && !is_stale(*known, got))
+            live.push_back(
+                {row.key_, known->data_centre_, known->peers_address_});
+    }
+    live.push_back(options_.own_);
+    std::sort(live.begin(), live.end(),
+              [](const fleet_host& one, const fleet_host& other)
+              {
+                  return one.name_ < other.name_;
+              });
+    if (!std::exchange(told_, true) || live != live_)
+    {
+        log_line(log_level::info, "fleet_hosts",
+                 {{"count", live.size()}, {"before", live_.size()}});
+        live_ = std::move(live);
+        changed_(live_);
+    }
+    if (!leaving_ && now - renewed_ >= options_.renew_every_ms_)
+        renew(got.now_ms_);
+    schedule(next_list_ms_);
+    constexpr std::int64_t growth = 3;
+    next_list_ms_ = std::min(next_list_ms_ * growth, options_.list_every_ms_);
+}
+
+void host_directory::renew(std::int64_t store_now_ms)
+{
+    renewed_ = monotonic_now();
+    fleet_host_row row{.data_centre_ = options_.own_.data_centre_,
+                       .peers_address_ = options_.own_.peers_address_,
+                       .seen_ms_ = store_now_ms};
+    table_transaction change{.put_ = {{.table_ = options_.table_,
+                                       .key_ = options_.own_.name_,
+                                       .value_ = encode(row).dump()}}};
+    store_.transact(change,
+                    [this, alive = std::weak_ptr<bool>(alive_)](
+                        const result<transaction_answer>& got)
+                    {
+                        // The next list tries again.
+                        if (!alive.expired() && !got)
+                            renewed_ = never;
+                    });
+}
+
+void host_directory::schedule(std::int64_t after_ms)
+{
+    timer_.expires_after(std::chrono::milliseconds(after_ms));
+    timer_.async_wait(
+        [this, alive = std::weak_ptr<bool>(alive_)](io_error cancelled)
+        {
+            if (!cancelled && !alive.expired())
+                list();
+        });
+}
+
+void host_directory::leave(std::function<void()> done)
+{
+    leaving_ = true;
+    table_transaction change{
+        .removed_ = {{.table_ = options_.table_, .key_ = options_.own_.name_}}};
+    store_.transact(change,
+                    [done = std::move(done)](const result<transaction_answer>&)
+                    {
+                        done();
+                    });
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/node/host_directory_test.cc
@@ -0,0 +1,166 @@
+// Tests of the list of live hosts: a store in memory that the test answers.
+
+#include <algorithm>
+#include <chrono>
+
+#include "node/host_directory.h"
+#include "testing/check.h"
+#include "transport/monotonic_clock.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+/// Answers at once, from rows in memory; can be away.
+struct memory_store final : table_store
+{
+    std::vector<table_row> rows_;
+    std::int64_t now_ms_ = 1'000'000;
+    bool away_ = false;
+    std::size_t lists_ = 0;
+
+    void list(const std::string&, snapshot_handler done) override
+    {
+        ++lists_;
+        if (away_)
+            return done(fail(error_code::unavailable, "away"));
+        done(table_snapshot{.rows_ = rows_, .now_ms_ = now_ms_});
+    }
+    void watch(const std::string&, std::int64_t, std::int64_t,
+               snapshot_handler) override
+    {
+    }
+    void transact(const table_transaction& change, answer_handler done) override
+    {
+        if (away_)
+            return done(fail(error_code::unavailable, "away"));
+        for (const auto& gone : change.removed_)
+            remove(gone.key_);
+        for (const auto& row : change.put_)
+        {
+            remove(row.key_);
+            rows_.push_back(row);
+        }
+        done(transaction_answer{.applied_ = true});
+    }
+    void remove(const std::string& key)
+    {
+        std::erase_if(rows_,
+                      [&](const table_row& row)
+                      {
+                          return row.key_ == key;
+                      });
+    }
+    void put(const std::string& key, std::int64_t seen_ms)
+    {
+        fleet_host_row row{"dc", "10.0.0.1:7000", seen_ms};
+        rows_.push_back(
+            {.table_ = "hosts", .key_ = key, .value_ = encode(row).dump()});
+    }
+};
+
+class host_directory_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(host_directory_test);
+    CPPUNIT_TEST(a_host_lists_itself_and_the_others);
+    CPPUNIT_TEST(a_row_that_is_not_renewed_counts_no_more);
+    CPPUNIT_TEST(nothing_is_old_while_the_store_is_away);
+    CPPUNIT_TEST(an_unreadable_row_is_passed_over);
+    CPPUNIT_TEST(a_host_that_leaves_takes_its_row_along);
+    CPPUNIT_TEST_SUITE_END();
+
+    boost::asio::io_context loop_{1};
+    memory_store store_;
+    std::vector<fleet_host> live_;
+    std::unique_ptr<host_directory> directory_;
+
+    void start()
+    {
+        directory_ = std::make_unique<host_directory>(
+            loop_, store_,
+            host_directory::options{.table_ = "hosts",
+                                    .own_ = {"own", "dc", "10.0.0.9:7000"},
+                                    .first_list_ms_ = 10,
+                                    .list_every_ms_ = 10,
+                                    .renew_every_ms_ = 40,
+                                    .stale_ms_ = 1000},
+            [this](const std::vector<fleet_host>& live)
+            {
+                live_ = live;
+            });
+        directory_->start();
+    }
+
+    void run_for(std::int64_t ms)
+    {
+        instant end = monotonic_now() + ms;
+        while (monotonic_now() < end)
+            loop_.run_one_for(std::chrono::milliseconds(5));
+    }
+
+    void a_host_lists_itself_and_the_others()
+    {
+        store_.put("other", store_.now_ms_);
+        start();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, live_.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("other"), live_.front().name_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, store_.rows_.size());
+        store_.put("third", store_.now_ms_);
+        run_for(60);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, live_.size());
+    }
+
+    void a_row_that_is_not_renewed_counts_no_more()
+    {
+        store_.put("gone", store_.now_ms_ - 5000);
+        start();
+        // A host that has just started knows not whether others could renew.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, live_.size());
+        run_for(150);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, live_.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("own"), live_.front().name_);
+    }
+
+    void nothing_is_old_while_the_store_is_away()
+    {
+        store_.put("other", store_.now_ms_);
+        start();
+        run_for(150);
+        store_.away_ = true;
+        store_.now_ms_ += 100'000;
+        run_for(150);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, live_.size());
+        store_.away_ = false;
+        run_for(40); // the other one had no time to renew yet
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, live_.size());
+    }
+
+    void an_unreadable_row_is_passed_over()
+    {
+        store_.rows_.push_back({.key_ = "odd", .value_ = "{\"x\":1"});
+        store_.put("other", store_.now_ms_);
+        start();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, live_.size());
+    }
+
+    void a_host_that_leaves_takes_its_row_along()
+    {
+        start();
+        run_for(30);
+        bool done = false;
+        directory_->leave(
+            [&done]
+            {
+                done = true;
+            });
+        run_for(100);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT(store_.rows_.empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(host_directory_test);
+
+} // namespace
+} // namespace tanagerspan
--- /dev/null
+++ b/node/peer_port.cc
@@ -0,0 +1,317 @@
+#include "node/peer_port.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "node/statement_run.h"
+#include "protocol/peer_frame.h"
+#include "protocol/run_messages.h"
+#include "transport/json_log.h"
+#include "transport/monotonic_clock.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+struct kept_transaction
+{
+    std::shared_ptr<endpoint_group> group_;
+    pinned_transaction open_;
+};
+
+// A run and the session's part that it refers to.
+struct peer_run
+{
+    session_context context_;
+    std::shared_ptr<endpoint_group> group_;
+    std::uint64_t transaction_ = 0;
+    std::shared_ptr<statement_run> run_;
+};
+
+} // namespace
+
+struct peer_port::peer : std::enable_shared_from_this<peer_port::peer>
+{
+    peer(tcp_socket socket, group_source groups)
+        : stream_(std::make_shared<byte_stream>(std::move(socket))),
+          groups_(std::move(groups))
+    {
+    }
+
+    void start()
+    {
+        std::weak_ptr<peer> weak = weak_from_this();
+        stream_->start({.on_input_ =
+                            [weak]
+                        {
+                            if (auto self = weak.lock())
+                                self->take_frames();
+                        },
+                        .on_end_ =
+                            [weak](const failure& why)
+                        {
+                            if (auto self = weak.lock())
+                                self->end(why);
+                        }});
+    }
+
+    void send(frame_type type, std::uint64_t correlation,
+              nlohmann::json body = nullptr) const
+    {
+        stream_->send(encode_frame({type, correlation, std::move(body)}));
+    }
+
+    void take_frames()
+    {
+        auto self = shared_from_this();
+        while (!over_)
+        {
+            auto got = take_frame(stream_->input());
+            if (!got)
+                return end(got.error());
+            if (!*got)
+                return;
+            on_frame(**got);
+        }
+    }
+
+    void on_frame(const peer_frame& frame)
+    {
+        switch (frame.type_)
+        {
+        case frame_type::probe:
+            return send(frame_type::probe_back, frame.correlation_);
+        case frame_type::run:
+            return on_run(frame);
+        case frame_type::abandon:
+            return abandon(frame.correlation_);
+        case frame_type::roll_back:
+            return roll_back(frame.correlation_);
+        default:
+            return end({error_code::malformed, "not a frame for a home"});
+        }
+    }
+
+    void on_run(const peer_frame& frame)
+    {
+        auto request = decode<run_request>(frame.body_);
+        if (!request)
+            return end(request.error());
+        remote_statement what = from_request(*request, monotonic_now());
+        std::uint64_t id = frame.correlation_;
+        auto group = groups_(what.route_.service_);
+        std::optional<pinned_transaction> open;
+        if (what.transaction_ != 0)
+        {
+            auto kept = transactions_.find(what.transaction_);
+            if (kept == transactions_.end())
+                return refuse_unknown_transaction(id, what);
+            group = kept->second.group_;
+            open = kept->second.open_;
+            transactions_.erase(kept);
+        }
+        if (!group)
+            return answer(id, {.not_here_ = true});
+        auto at = std::make_shared<peer_run>();
+        at->context_.values_.values_ = std::move(what.values_);
+        at->context_.own_commit_ = what.own_commit_;
+        at->group_ = group;
+        at->transaction_ = what.transaction_ != 0 ? what.transaction_ : id;
+        run_options run{.what_ = std::move(what.what_),
+                        .shape_ = std::move(what.shape_),
+                        .writes_ = what.writes_,
+                        .begin_ = what.begin_,
+                        .transaction_ = std::move(open),
+                        .route_ = std::move(what.route_),
+                        .arrived_ = what.arrived_,
+                        .session_ = &at->context_};
+        std::weak_ptr<peer> weak = weak_from_this();
+        at->run_ = std::make_shared<statement_run>(
+            group, std::move(run),
+            [weak, id](run_outcome outcome)
+            {
+                if (auto self = weak.lock())
+                    self->on_outcome(id, std::move(outcome));
+            });
+        runs_[id] = at;
+        at->run_->start();
+    }
+
+    void refuse_unknown_transaction(std::uint64_t id,
+                                    const remote_statement& what)
+    {
+        bool ends = what.what_.kind_ == statement_kind::commit;
+        answer(id, {.answer_ = {.error_ = reply_error::aborted,
+                                .text_ = "the transaction is over",
+                                .state_ = ends ? transaction_state::idle
+                                               : transaction_state::failed},
+                    .rolled_back_ = true});
+    }
+
+    void answer(std::uint64_t id, const remote_outcome& outcome) const
+    {
+        send(frame_type::run_done, id, encode(to_answer(outcome)));
+    }
+
+    void on_outcome(std::uint64_t id, run_outcome outcome)
+    {
+        auto at = runs_.find(id);
+        if (at == runs_.end())
+            return;
+        auto ended = at->second;
+        runs_.erase(at);
+        // The run is one of the callers of this function.
+        ended_.push_back(ended);
+        if (outcome.transaction_)
+            transactions_[ended->transaction_] = {ended->group_,
+                                                  *outcome.transaction_};
+        answer(id, {.answer_ = std::move(outcome.answer_),
+                    .transaction_open_ = outcome.transaction_.has_value(),
+                    .rolled_back_ = outcome.rolled_back_});
+    }
+
+    void abandon(std::uint64_t id)
+    {
+        auto at = runs_.find(id);
+        if (at == runs_.end())
+            return roll_back(id); // its outcome is on the way
+        auto ended = at->second;
+        runs_.erase(at);
+        ended_.push_back(ended);
+        ended->run_->abandon();
+    }
+
+    void roll_back(std::uint64_t id)
+    {
+        auto kept = transactions_.find(id);
+        if (kept == transactions_.end())
+            return;
+        kept->second.group_->roll_back(kept->second.open_.link_,
+                                       monotonic_now());
+        transactions_.erase(kept);
+    }
+
+    void end_transactions()
+    {
+        while (!transactions_.empty())
+            roll_back(transactions_.begin()->first);
+    }
+
+    void end(const failure& why)
+    {
+        auto self = shared_from_this();
+        if (std::exchange(over_, true))
+            return;
+        log_line(log_level::info, "peer_ended",
+                 {{"runs", runs_.size()},
+                  {"transactions", transactions_.size()},
+                  {"detail", why.detail_}});
+        while (!runs_.empty())
+            abandon(runs_.begin()->first);
+        end_transactions();
+        stream_->close();
+    }
+
+    void tick(instant now)
+    {
+        ended_.clear();
+        std::vector<std::shared_ptr<peer_run>> running;
+        running.reserve(runs_.size());
+        for (const auto& [id, at] : runs_)
+            running.push_back(at);
+        for (const auto& at : running)
+            at->run_->tick(now);
+    }
+
+    std::shared_ptr<byte_stream> stream_;
+    group_source groups_;
+    std::map<std::uint64_t, std::shared_ptr<peer_run>> runs_;
+    std::map<std::uint64_t, kept_transaction> transactions_;
+    std::vector<std::shared_ptr<peer_run>> ended_;
+    bool over_ = false;
+};
+
+peer_port::peer_port(boost::asio::io_context& loop, group_source groups)
+    : loop_(loop), groups_(std::move(groups)), acceptor_(loop)
+{
+}
+
+peer_port::~peer_port()
+{
+    for (auto& one : peers_)
+        one->end({error_code::leaving, "this proxy ends"});
+}
+
+result<void> peer_port::start(const std::string& address)
+{
+    if (auto listens = listen_on(acceptor_, address); !listens)
+        return listens;
+    accept_next();
+    return {};
+}
+
+void peer_port::accept_next()
+{
+    acceptor_.async_accept(
+        [this, alive = std::weak_ptr<bool>(alive_)](io_error wrong,
+                                                    tcp_socket socket)
+        {
+            if (alive.expired() ||
+                wrong == boost::asio::error::operation_aborted)
+                return;
+            if (!wrong)
+            {
+                auto one =
+                    std::make_shared<peer>(std::move(socket),
+                                           [this](const std::string& service)
+                                           {
+                                               ++runs_;
+                                               return groups_(service);
+                                           });
+                peers_.push_back(one);
+                one->start();
+                if (leaving_)
+                    one->send(frame_type::leaving, 0);
+            }
+            accept_next();
+        });
+}
+
+void peer_port::tick(instant now)
+{
+    for (auto& one : peers_)
+        one->tick(now);
+    std::erase_if(peers_,
+                  [](const std::shared_ptr<peer>& one)
+                  {
+                      return one->over_;
+                  });
+}
+
+void peer_port::leave()
+{
+    leaving_ = true;
+    for (const auto& one : peers_)
+        one->send(frame_type::leaving, 0);
+}
+
+void peer_port::end_transactions()
+{
+    for (const auto& one : peers_)
+        one->end_transactions();
+}
+
+bool peer_port::is_quiet() const
+{
+    return std::all_of(peers_.begin(), peers_.end(),
+                       [](const std::shared_ptr<peer>& one)
+                       {
+                           return one->runs_.empty() &&
+                                  one->transactions_.empty();
+                       });
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/node/remote_run.cc
@@ -0,0 +1,190 @@
+#include "node/remote_run.h"
+
+#include <utility>
+
+#include "node/statement_run.h"
+#include "transport/json_log.h"
+#include "transport/monotonic_clock.h"
+
+namespace tanagerspan
+{
+
+remote_run::remote_run(std::shared_ptr<service_gateway> gateway,
+                       run_options run, done_handler done)
+    : gateway_(std::move(gateway)), options_(std::move(run)),
+      done_(std::move(done))
+{
+}
+
+void remote_run::start()
+{
+    if (!options_.transaction_)
+        return next_home();
+    auto home = options_.transaction_->home_;
+    if (!home->is_open())
+        return settle(attempt_failure::lost, "closed before");
+    send(home);
+}
+
+void remote_run::next_home()
+{
+    phase_ = phase::waiting;
+    if (excluded_.size() >= max_homes)
+        return run_here();
+    auto choice = gateway_->pick_home(excluded_, monotonic_now());
+    if (choice.link_)
+        return send(std::move(choice.link_));
+    if (!choice.opening_)
+        run_here();
+}
+
+void remote_run::run_here()
+{
+    phase_ = phase::here;
+    log_line(log_level::info, "no_home_reached",
+             {{"request", options_.what_.id_},
+              {"service", options_.route_.service_},
+              {"tried", excluded_.size()}});
+    local_ = std::make_shared<statement_run>(gateway_->group(), options_,
+                                             std::exchange(done_, nullptr));
+    local_->start();
+}
+
+void remote_run::send(std::shared_ptr<home_link> to)
+{
+    phase_ = phase::sent;
+    home_ = std::move(to);
+    remote_statement what{.what_ = options_.what_,
+                          .shape_ = options_.shape_,
+                          .writes_ = options_.writes_,
+                          .begin_ = options_.begin_,
+                          .route_ = options_.route_,
+                          .arrived_ = options_.arrived_,
+                          .values_ = options_.session_->values_.values_,
+                          .own_commit_ = options_.session_->own_commit_};
+    if (options_.transaction_)
+        what.transaction_ = options_.transaction_->number_;
+    std::weak_ptr<remote_run> weak = weak_from_this();
+    run_ = home_->run(what,
+                      [weak, home = home_](const result<remote_outcome>& got)
+                      {
+                          if (auto self = weak.lock())
+                              self->on_outcome(home, got);
+                      });
+}
+
+void remote_run::on_outcome(const std::shared_ptr<home_link>& from,
+                            const result<remote_outcome>& got)
+{
+    if (phase_ != phase::sent || from != home_)
+        return;
+    if (!got)
+        return settle(attempt_failure::lost, got.error().detail_);
+    if (got->not_here_)
+        return options_.transaction_
+                   ? settle(attempt_failure::refused, "not kept")
+                   : move_on("does not serve it");
+    run_outcome outcome{.answer_ = got->answer_,
+                        .rolled_back_ = got->rolled_back_};
+    if (got->transaction_open_)
+        outcome.transaction_ =
+            continued(options_, {.home_ = home_, .number_ = run_});
+    finish(std::move(outcome));
+}
+
+attempt_step remote_run::step() const
+{
+    // A transaction whose link ended before the statement went out is over,
+    // whichever statement it was: nothing of it is kept.
+    if (phase_ == phase::waiting)
+        return options_.transaction_ ? attempt_step::later_inside
+                                     : attempt_step::connect;
+    return step_in_flight(options_);
+}
+
+bool remote_run::may_move(attempt_failure how) const
+{
+    return judge(step(), how, true).verdict_ == attempt_verdict::retry;
+}
+
+void remote_run::settle(attempt_failure how, std::string_view detail)
+{
+    instant now = monotonic_now();
+    bool in_time = now < options_.deadline();
+    attempt_ruling ruling = judge(step(), how, in_time);
+    bool again = ruling.verdict_ == attempt_verdict::retry;
+    log_line(log_level::info, "home_attempt_failed",
+             {{"request", options_.what_.id_},
+              {"service", options_.route_.service_},
+              {"route", options_.route_.name_},
+              {"home", home_ ? home_->home().name_ : ""},
+              {"step", std::string(name_of(step()))},
+              {"failure", std::string(name_of(how))},
+              {"detail", std::string(detail)},
+              {"age_ms", now - options_.arrived_},
+              {"retry", again}});
+    if (again)
+        return move_on(detail);
+    finish(refusal(options_, ruling.error_, detail));
+}
+
+void remote_run::move_on(std::string_view why)
+{
+    excluded_.push_back(home_->home().name_);
+    log_line(log_level::info, "home_changed",
+             {{"request", options_.what_.id_},
+              {"home", home_->home().name_},
+              {"reason", std::string(why)}});
+    home_.reset();
+    next_home();
+}
+
+void remote_run::tick(instant now)
+{
+    if (local_)
+        return local_->tick(now);
+    if (phase_ == phase::finished)
+        return;
+    if (phase_ == phase::waiting)
+    {
+        if (now >= options_.deadline())
+            return settle(attempt_failure::expired, "timeout");
+        return next_home();
+    }
+    bool over = now >= options_.deadline() + answer_margin_ms;
+    bool leave = home_->is_silent() && now < options_.deadline() &&
+                 may_move(attempt_failure::lost);
+    if (!over && !leave)
+        return;
+    leave_home();
+    if (over)
+        return settle(attempt_failure::expired, "no answer of the home");
+    move_on("silent");
+}
+
+void remote_run::abandon()
+{
+    if (local_)
+        return local_->abandon();
+    if (phase_ == phase::sent)
+        leave_home();
+    phase_ = phase::finished;
+    done_ = nullptr;
+}
+
+void remote_run::leave_home()
+{
+    home_->abandon(run_);
+    // Its outcome may be on the way, and the transaction kept there.
+    if (options_.transaction_)
+        home_->roll_back(options_.transaction_->number_);
+}
+
+void remote_run::finish(run_outcome outcome)
+{
+    phase_ = phase::finished;
+    if (auto done = std::exchange(done_, nullptr))
+        done(std::move(outcome));
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/node/service_gateway.cc
@@ -0,0 +1,76 @@
+#include "node/service_gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "node/remote_run.h"
+#include "node/statement_run.h"
+
+namespace tanagerspan
+{
+
+service_gateway::service_gateway(std::shared_ptr<endpoint_group> group,
+                                 home_pool& homes)
+    : group_(std::move(group)), pool_(homes)
+{
+}
+
+void service_gateway::set_homes(service_homes homes)
+{
+    homes_ = std::move(homes);
+}
+
+std::shared_ptr<caller_run>
+service_gateway::make_run(run_options run, caller_run::done_handler done)
+{
+    bool here =
+        run.transaction_ ? run.transaction_->link_ != nullptr : homes_.own_;
+    if (here)
+        return std::make_shared<statement_run>(group_, std::move(run),
+                                               std::move(done));
+    return std::make_shared<remote_run>(shared_from_this(), std::move(run),
+                                        std::move(done));
+}
+
+void service_gateway::roll_back(const pinned_transaction& open, instant now)
+{
+    if (open.link_)
+        group_->roll_back(open.link_, now);
+    else if (open.home_)
+        open.home_->roll_back(open.number_);
+}
+
+service_gateway::home_choice
+service_gateway::pick_home(std::span<const std::string> excluded, instant now)
+{
+    home_choice out;
+    for (const auto& home : homes_.route_)
+    {
+        bool tried = std::find(excluded.begin(), excluded.end(), home.name_) !=
+                     excluded.end();
+        if (tried)
+            continue;
+        auto link = pool_.link_to(home, now);
+        if (link && link->is_usable())
+            return {.link_ = std::move(link)};
+        out.opening_ = out.opening_ || (link && link->is_opening());
+    }
+    return out;
+}
+
+void service_gateway::tick(instant now)
+{
+    group_->tick(now);
+    if (homes_.own_)
+        return;
+    std::size_t usable = 0;
+    for (const auto& home : homes_.route_)
+    {
+        auto link = pool_.link_to(home, now);
+        usable += link && (link->is_usable() || link->is_opening()) ? 1 : 0;
+        if (usable >= warm_homes)
+            return;
+    }
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/node/service_gateway.h
@@ -0,0 +1,65 @@
+#ifndef TANAGERSPAN_NODE_SERVICE_GATEWAY_H
+#define TANAGERSPAN_NODE_SERVICE_GATEWAY_H
+
+// How the sessions of this proxy reach one service: over its own connections
+// where it is a home, else through a home (see coordination/home_plan.h).
+//
+// A home that is silent, leaves or can't be reached is passed over. Where no
+// home is left, the statement runs over a connection of this proxy all the
+// same: late and dear, but not refused.
+//
+// Traffic thread only.
+
+#include <memory>
+#include <span>
+#include <string>
+
+#include "coordination/home_plan.h"
+#include "node/caller_run.h"
+#include "node/endpoint_group.h"
+#include "node/home_link.h"
+
+namespace tanagerspan
+{
+
+class service_gateway : public std::enable_shared_from_this<service_gateway>
+{
+public:
+    service_gateway(std::shared_ptr<endpoint_group> group, home_pool& homes);
+
+    void set_homes(service_homes homes);
+
+    std::shared_ptr<caller_run> make_run(run_options run,
+                                         caller_run::done_handler done);
+
+    /// The caller's transaction is over and keeps nothing.
+    void roll_back(const pinned_transaction& open, instant now);
+
+    /// Keeps the links that are used first, and the group's connections.
+    void tick(instant now);
+
+    /// Null with `opening_`: none is usable yet, but one may soon be.
+    struct home_choice
+    {
+        std::shared_ptr<home_link> link_;
+        bool opening_ = false;
+    };
+    home_choice pick_home(std::span<const std::string> excluded, instant now);
+
+    const std::shared_ptr<endpoint_group>& group() const
+    {
+        return group_;
+    }
+
+private:
+    /// Kept open: the one in use and the one that would be next.
+    static constexpr std::size_t warm_homes = 2;
+
+    std::shared_ptr<endpoint_group> group_;
+    home_pool& pool_;
+    service_homes homes_{.own_ = true};
+};
+
+} // namespace tanagerspan
+
+#endif
--- a/node/session_fixture_test.h
+++ b/node/session_fixture_test.h
@@ -79,17 +79,44 @@
     }
 };
 
-/// A group of three members behind one proxy.
+/// A group of three members behind one proxy; `through_home`: callers go to
+/// another proxy, which has that one as its home.
 struct fixture
 {
     boost::asio::io_context loop_{1};
     std::vector<std::unique_ptr<session_endpoint>> members_;
     std::unique_ptr<traffic_front> front_;
-    std::string address_;
+    std::unique_ptr<traffic_front> edge_; ///< null unless through a home
+    std::string address_;                 ///< for callers
+    fleet_host home_;
+    std::shared_ptr<route_table> routes_ = std::make_shared<route_table>();
     endpoint_list entries_;
     std::int64_t row_version_ = 1;
 
-    fixture()
+    static std::string free_address(boost::asio::io_context& loop)
+    {
+        boost::asio::ip::tcp::acceptor probe(
+            loop, {boost::asio::ip::address_v4::loopback(), 0});
+        return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+    }
+
+    /// A proxy that listens on a new address, which becomes the callers'.
+    std::unique_ptr<traffic_front> start_front(const fleet_host& host)
+    {
+        address_ = free_address(loop_);
+        auto out = std::make_unique<traffic_front>(
+            loop_,
+            traffic_front::options{.codec_ = &codec,
+                                   .host_name_ = host.name_,
+                                   .data_centre_ = host.data_centre_,
+                                   .callers_address_ = address_,
+                                   .peers_address_ = host.peers_address_});
+        CPPUNIT_ASSERT(out->start().has_value());
+        out->set_routes(routes_);
+        return out;
+    }
+
+    explicit fixture(bool through_home = false)
     {
         for (const char* id : {"m1", "m2", "m3"})
         {
@@ -108,41 +135,48 @@
                                 .primary_ = entries_.empty(),
                                 .row_version_ = row_version_++});
         }
-        boost::asio::ip::tcp::acceptor probe(
-            loop_, {boost::asio::ip::address_v4::loopback(), 0});
-        address_ = "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
-        probe.close();
-        front_ = std::make_unique<traffic_front>(
-            loop_, traffic_front::options{.codec_ = &codec,
-                                          .host_name_ = "host",
-                                          .data_centre_ = "a",
-                                          .callers_address_ = address_});
-        CPPUNIT_ASSERT(front_->start().has_value());
-        auto routes = std::make_shared<route_table>();
-        routes->version_ = 1;
-        routes->services_["svc"] = {.max_connections_ = 30};
+        routes_->version_ = 1;
+        routes_->services_["svc"] = {.max_connections_ = 30};
         auto add = [&](const char* database, read_rule rule)
         {
-            routes->by_database_[database] = {.name_ = database,
-                                              .database_ = database,
-                                              .service_ = "svc",
-                                              .rule_ = rule,
-                                              .timeout_ms_ = 400,
-                                              .target_latency_ms_ = 200,
-                                              .max_staleness_ms_ = 1500};
+            routes_->by_database_[database] = {.name_ = database,
+                                               .database_ = database,
+                                               .service_ = "svc",
+                                               .rule_ = rule,
+                                               .timeout_ms_ = 400,
+                                               .target_latency_ms_ = 200,
+                                               .max_staleness_ms_ = 1500};
         };
         add("strict", read_rule::primary);
         add("own", read_rule::read_your_writes);
         add("bounded", read_rule::bounded_staleness);
-        routes->transaction_idle_ms_ = 300;
-        front_->set_routes(routes);
+        routes_->transaction_idle_ms_ = 300;
+        home_ = {"home", "a", free_address(loop_)};
+        front_ = start_front(home_);
         publish();
+        if (!through_home)
+            return;
+        edge_ = start_front({"edge", "a", ""});
+        publish_to(*edge_, {.route_ = {home_}});
+        run_for(100); // the link to the home opens
+    }
+
+    /// The proxy that callers talk to.
+    traffic_front& callers_front()
+    {
+        return edge_ ? *edge_ : *front_;
+    }
+
+    void publish_to(traffic_front& front, service_homes homes)
+    {
+        home_plan plan{{"svc", std::move(homes)}};
+        front.set_endpoints(std::make_shared<const endpoint_list>(entries_),
+                            std::make_shared<const home_plan>(plan));
     }
 
     void publish()
     {
-        front_->set_endpoints(std::make_shared<const endpoint_list>(entries_),
-                              3);
+        publish_to(*front_, {.own_ = true, .share_ = 9});
     }
 
     /// Runs the loop until `done`, two seconds at most.
--- a/node/session_flow_test.cc
+++ b/node/session_flow_test.cc
@@ -38,9 +38,17 @@
     CPPUNIT_TEST(a_drain_cuts_nothing);
     CPPUNIT_TEST_SUITE_END();
 
+protected:
+    /// Whether callers talk to a proxy that is no home of the service.
+    virtual bool through_home() const
+    {
+        return false;
+    }
+
+private:
     void a_session_reads_and_writes()
     {
-        fixture f;
+        fixture f(through_home());
         for (const char* database : {"strict", "own", "bounded"})
         {
             auto user = f.open(database);
@@ -56,14 +64,14 @@
 
     void an_unknown_database_is_refused()
     {
-        fixture f;
+        fixture f(through_home());
         auto user = f.open("nowhere");
         CPPUNIT_ASSERT(user->ended_ && user->refused_);
     }
 
     void values_and_prepared_statements_follow_the_session()
     {
-        fixture f;
+        fixture f(through_home());
         auto one = f.open("own");
         auto two = f.open("own");
         f.ask(*one, "SET tz lima");
@@ -94,7 +102,7 @@
 
     void a_transaction_stays_on_one_connection()
     {
-        fixture f;
+        fixture f(through_home());
         auto user = f.open("own");
         CPPUNIT_ASSERT(f.ask(*user, "BEGIN").state_ == transaction_state::open);
         f.ask(*user, "READ a");
@@ -116,7 +124,7 @@
     {
         for (const char* next : {"READ b", "WRITE b 1", "COMMIT"})
         {
-            fixture f;
+            fixture f(through_home());
             auto user = f.open("own");
             f.ask(*user, "BEGIN");
             f.ask(*user, "READ a");
@@ -135,7 +143,7 @@
 
     void a_begin_is_awaited_before_the_first_statement()
     {
-        fixture f;
+        fixture f(through_home());
         auto user = f.open("own");
         f.primary().options_.primary_ = false; // it lost the lead
         f.ask(*user, "BEGIN");
@@ -150,7 +158,7 @@
 
     void a_strict_read_needs_a_begin_that_succeeded()
     {
-        fixture f;
+        fixture f(through_home());
         f.primary().options_.primary_ = false;
         f.members_[1]->options_.primary_ = true;
         auto user = f.open("strict");
@@ -163,7 +171,7 @@
     {
         for (bool closes : {true, false})
         {
-            fixture f;
+            fixture f(through_home());
             f.primary().faults_ = [closes](const statement& what)
             {
                 using fault = session_endpoint::fault;
@@ -183,7 +191,7 @@
 
     void a_refused_write_is_tried_again()
     {
-        fixture f;
+        fixture f(through_home());
         int refusals = 2;
         f.primary().faults_ = [&refusals](const statement& what)
         {
@@ -199,7 +207,7 @@
 
     void a_read_moves_on_when_its_endpoint_dies()
     {
-        fixture f;
+        fixture f(through_home());
         auto user = f.open("bounded");
         f.ask(*user, "READ a");
         int asked = 0;
@@ -221,7 +229,7 @@
 
     void an_own_write_is_seen_by_the_next_read()
     {
-        fixture f;
+        fixture f(through_home());
         auto user = f.open("own");
         f.ask(*user, "READ a"); // makes a mark
         f.run_for(50);
@@ -246,7 +254,7 @@
     // was lent on with its transaction open.
     void a_late_answer_leaves_no_transaction_behind()
     {
-        fixture f;
+        fixture f(through_home());
         auto user = f.open("bounded");
         f.ask(*user, "READ a");
         int reads = 0;
@@ -289,7 +297,7 @@
 
     void a_resting_transaction_is_rolled_back()
     {
-        fixture f;
+        fixture f(through_home());
         auto user = f.open("own");
         f.ask(*user, "BEGIN");
         f.ask(*user, "WRITE a 1");
@@ -303,7 +311,7 @@
 
     void a_caller_that_leaves_rolls_back()
     {
-        fixture f;
+        fixture f(through_home());
         auto user = f.open("own");
         f.ask(*user, "BEGIN");
         f.ask(*user, "WRITE a 1");
@@ -318,7 +326,7 @@
 
     void a_failed_transaction_takes_only_its_end()
     {
-        fixture f;
+        fixture f(through_home());
         auto user = f.open("own");
         f.ask(*user, "BEGIN");
         f.ask(*user, "READ a");
@@ -336,7 +344,7 @@
 
     void odd_statements_are_refused_and_lose_nothing()
     {
-        fixture f;
+        fixture f(through_home());
         auto user = f.open("own");
         for (const char* odd :
              {"DROP x", "COMMIT", "ROLLBACK", "STATUS", "PAUSE 9", "DISCARD",
@@ -352,7 +360,7 @@
 
     void a_silent_primary_is_reported()
     {
-        fixture f;
+        fixture f(through_home());
         std::optional<primary_health> seen;
         f.front_->on_health_ =
             [&seen](const std::string&, const primary_health& health)
@@ -376,17 +384,17 @@
 
     void a_drain_cuts_nothing()
     {
-        fixture f;
+        fixture f(through_home());
         auto busy = f.open("own");
         auto idle = f.open("own");
         f.ask(*busy, "BEGIN");
         f.ask(*busy, "WRITE a 1");
         bool drained = false;
-        f.front_->drain(6000,
-                        [&drained]
-                        {
-                            drained = true;
-                        });
+        f.callers_front().drain(6000,
+                                [&drained]
+                                {
+                                    drained = true;
+                                });
         f.run_for(100);
         CPPUNIT_ASSERT(!f.ask(*busy, "COMMIT").error_);
         auto late = f.open("own"); // the balancer has not noticed yet
@@ -402,5 +410,19 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(session_flow_test);
 
+// The same through a home: a caller must not see the difference.
+class session_flow_through_home_test : public session_flow_test
+{
+    CPPUNIT_TEST_SUB_SUITE(session_flow_through_home_test, session_flow_test);
+    CPPUNIT_TEST_SUITE_END();
+
+    bool through_home() const override
+    {
+        return true;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(session_flow_through_home_test);
+
 } // namespace
 } // namespace tanagerspan
--- a/node/statement_run.cc
+++ b/node/statement_run.cc
@@ -38,22 +38,12 @@
 } // namespace
 
 statement_run::statement_run(std::shared_ptr<endpoint_group> group,
-                             options opts, done_handler done)
+                             run_options opts, done_handler done)
     : group_(std::move(group)), options_(std::move(opts)),
       done_(std::move(done))
 {
 }
 
-instant statement_run::deadline() const
-{
-    return options_.arrived_ + options_.route_.timeout_ms_;
-}
-
-bool statement_run::in_transaction() const
-{
-    return options_.begin_ || options_.transaction_;
-}
-
 void statement_run::start()
 {
     if (!options_.transaction_)
@@ -254,7 +244,7 @@
     if (ticket_ != 0)
         group_->withdraw(ticket_);
     if (link_)
-        group_->abandon(link_, deadline());
+        group_->abandon(link_, options_.deadline());
     link_.reset();
     finish({.answer_ = got});
 }
@@ -268,15 +258,7 @@
                                      : attempt_step::connect;
     if (phase_ == phase::beginning)
         return attempt_step::begin;
-    if (!in_transaction())
-        return options_.writes_ ? attempt_step::lone_write
-                                : attempt_step::lone_read;
-    bool ends = options_.what_.kind_ == statement_kind::commit;
-    bool wrote = options_.transaction_ && options_.transaction_->wrote_;
-    if (ends)
-        return wrote ? attempt_step::commit : attempt_step::commit_read_only;
-    return options_.transaction_ ? attempt_step::later_inside
-                                 : attempt_step::first_inside;
+    return step_in_flight(options_);
 }
 
 void statement_run::succeed(reply got)
@@ -288,19 +270,15 @@
         group_->marks().add(asked_, *got.position_);
     run_outcome outcome{.answer_ = std::move(got)};
     bool ends = options_.what_.kind_ == statement_kind::commit;
-    if (in_transaction() && !ends)
+    if (options_.in_transaction() && !ends)
     {
-        pinned_transaction open =
-            options_.transaction_.value_or(pinned_transaction{.link_ = link_});
-        open.ran_any_ = true;
-        open.wrote_ = open.wrote_ || options_.writes_;
-        outcome.transaction_ = open;
+        outcome.transaction_ = continued(options_, {.link_ = link_});
         link_.reset();
         return finish(std::move(outcome));
     }
     bool idle = outcome.answer_.state_ == transaction_state::idle;
     outcome.answer_.state_ = transaction_state::idle;
-    if (begun_ && !in_transaction())
+    if (begun_ && !options_.in_transaction())
         group_->roll_back(link_, now);
     else
         group_->give_back(link_, idle, now);
@@ -331,7 +309,7 @@
                            std::string_view detail)
 {
     instant now = monotonic_now();
-    bool may_retry = attempts_ < max_attempts && now < deadline();
+    bool may_retry = attempts_ < max_attempts && now < options_.deadline();
     attempt_step at = step();
     attempt_ruling ruling = judge(at, how, may_retry);
     bool positioned = way_ == way::positioned_read;
@@ -401,12 +379,13 @@
 void statement_run::deliver_error(const reply& got)
 {
     run_outcome outcome{.answer_ = got};
-    bool over = !in_transaction() || got.state_ == transaction_state::idle;
+    bool over =
+        !options_.in_transaction() || got.state_ == transaction_state::idle;
     if (over)
     {
-        outcome.rolled_back_ = in_transaction();
+        outcome.rolled_back_ = options_.in_transaction();
         outcome.answer_.state_ = transaction_state::idle;
-        if (begun_ && !in_transaction())
+        if (begun_ && !options_.in_transaction())
             group_->roll_back(link_, monotonic_now());
         else
             group_->give_back(link_, got.state_ == transaction_state::idle,
@@ -414,11 +393,7 @@
     }
     else
     {
-        pinned_transaction open =
-            options_.transaction_.value_or(pinned_transaction{.link_ = link_});
-        open.ran_any_ = true;
-        open.wrote_ = open.wrote_ || options_.writes_;
-        outcome.transaction_ = open;
+        outcome.transaction_ = continued(options_, {.link_ = link_});
     }
     link_.reset();
     finish(std::move(outcome));
@@ -426,18 +401,14 @@
 
 void statement_run::refuse(reply_error error, std::string_view why)
 {
-    reply answer{.error_ = error, .text_ = std::string(why)};
-    bool ends = options_.what_.kind_ == statement_kind::commit;
-    answer.state_ = in_transaction() && !ends ? transaction_state::failed
-                                              : transaction_state::idle;
-    finish({.answer_ = std::move(answer), .rolled_back_ = in_transaction()});
+    finish(refusal(options_, error, why));
 }
 
 void statement_run::tick(instant now)
 {
     if (phase_ == phase::finished)
         return;
-    if (now >= deadline())
+    if (now >= options_.deadline())
         return settle(attempt_failure::expired, std::nullopt, "timeout");
     bool waits = phase_ == phase::waiting && ticket_ != 0;
     if (waits &&
@@ -446,7 +417,7 @@
         return settle(attempt_failure::expired, std::nullopt, "overload");
     if (phase_ == phase::waiting && retry_at_ != never && now >= retry_at_)
         return next_attempt();
-    bool silent = phase_ == phase::running && !in_transaction() &&
+    bool silent = phase_ == phase::running && !options_.in_transaction() &&
                   way_ == way::positioned_read && !asked_elsewhere_ &&
                   now - asked_ >= repeat_after_ms(options_.route_);
     if (!silent || !group_->repeats().try_spend())
@@ -458,7 +429,7 @@
               {"unanswered_ms", now - asked_}});
     group_->on_failed(link_, now);
     excluded_.push_back(link_->endpoint().id_);
-    group_->abandon(link_, deadline());
+    group_->abandon(link_, options_.deadline());
     link_.reset();
     next_attempt();
 }
@@ -470,14 +441,15 @@
     instant now = monotonic_now();
     if (ticket_ != 0)
         group_->withdraw(std::exchange(ticket_, 0));
-    bool lone = !in_transaction() && !begun_ && phase_ == phase::running;
+    bool lone =
+        !options_.in_transaction() && !begun_ && phase_ == phase::running;
     phase_ = phase::finished;
     done_ = nullptr;
     if (!link_)
         return;
     auto link = std::exchange(link_, nullptr);
     if (lone)
-        group_->abandon(link, deadline());
+        group_->abandon(link, options_.deadline());
     else
         group_->give_back(link, false, now);
 }
--- a/node/statement_run.h
+++ b/node/statement_run.h
@@ -1,7 +1,8 @@
 #ifndef TANAGERSPAN_NODE_STATEMENT_RUN_H
 #define TANAGERSPAN_NODE_STATEMENT_RUN_H
 
-// Takes one statement of a caller to an endpoint and its answer back.
+// Takes one statement of a caller to an endpoint and its answer back, over the
+// connections of this proxy.
 //
 // How it goes there depends on what it must have seen:
 //   - a write goes to the primary, which refuses it if it does not lead;
@@ -25,63 +26,22 @@
 #include <vector>
 
 #include "coordination/attempt_policy.h"
+#include "node/caller_run.h"
 #include "node/endpoint_group.h"
 
 namespace tanagerspan
 {
 
-/// What the session knows that its statements depend on.
-struct session_context
-{
-    session_values values_;
-    /// The session's newest own commit and when it was acknowledged.
-    std::optional<position_need> own_commit_;
-};
-
-/// An open transaction's connection.
-struct pinned_transaction
-{
-    link_ptr link_;
-    bool ran_any_ = false;
-    bool wrote_ = false;
-};
-
-struct run_outcome
-{
-    reply answer_;
-    /// Set while the caller's transaction goes on.
-    std::optional<pinned_transaction> transaction_;
-    bool rolled_back_ = false; ///< the caller's transaction is over
-};
-
-class statement_run : public std::enable_shared_from_this<statement_run>
+class statement_run final : public caller_run,
+                            public std::enable_shared_from_this<statement_run>
 {
 public:
-    struct options
-    {
-        statement what_;
-        std::optional<prepared_shape> shape_{}; ///< of an execute
-        bool writes_ = false;
-        /// The begin that precedes a transaction's first statement.
-        std::optional<statement_kind> begin_{};
-        std::optional<pinned_transaction> transaction_{};
-        database_route route_;
-        instant arrived_{};
-        const session_context* session_ = nullptr; ///< outlives the run
-    };
-    using done_handler = std::function<void(run_outcome)>;
-
-    statement_run(std::shared_ptr<endpoint_group> group, options opts,
+    statement_run(std::shared_ptr<endpoint_group> group, run_options opts,
                   done_handler done);
 
-    void start();
-
-    /// Ends the run if its time is over, or repeats a read that got no
-    /// answer yet. Called every few ten milliseconds.
-    void tick(instant now);
-
-    /// The caller is gone: nothing of it is delivered any more.
-    void abandon();
+    void start() override;
+    void tick(instant now) override;
+    void abandon() override;
 
 private:
     enum class way
@@ -100,7 +60,6 @@
         finished
     };
 
-    instant deadline() const;
     std::optional<position_need> need(instant now) const;
     void choose_way(instant now);
     void next_attempt();
@@ -123,10 +82,9 @@
     void refuse(reply_error error, std::string_view why);
     void finish(run_outcome outcome);
     attempt_step step() const;
-    bool in_transaction() const;
 
     std::shared_ptr<endpoint_group> group_;
-    options options_;
+    run_options options_;
     done_handler done_;
     phase phase_ = phase::waiting;
     way way_ = way::write;
--- a/node/takeover_driver.cc
+++ b/node/takeover_driver.cc
@@ -80,16 +80,30 @@
     }
 }
 
-void takeover_driver::set_hosts(std::vector<std::string> hosts)
+void takeover_driver::set_claims(const home_plan& plan,
+                                 const std::vector<fleet_host>& hosts)
 {
-    hosts_ = std::move(hosts);
+    plan_ = plan;
+    hosts_.clear();
+    for (const auto& host : hosts)
+        hosts_.push_back(host.name_);
 }
 
 std::int64_t takeover_driver::rank_of(const std::string& service) const
 {
+    std::int64_t rank = 0;
+    if (auto at = plan_.find(service); at != plan_.end())
+    {
+        for (const auto& home : at->second.claims_)
+        {
+            if (home.name_ == options_.host_name_)
+                return rank;
+            ++rank;
+        }
+    }
     auto order = rank_homes(service, hosts_, hosts_.size());
     auto own = std::find(order.begin(), order.end(), options_.host_name_);
-    return own - order.begin();
+    return rank + (own - order.begin());
 }
 
 void takeover_driver::on_health(const std::string& service,
--- a/node/takeover_driver.h
+++ b/node/takeover_driver.h
@@ -17,6 +17,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "coordination/home_plan.h"
 #include "coordination/takeover.h"
 #include "coordination/takeover_trigger.h"
 #include "node/endpoint_link.h"
@@ -51,7 +52,10 @@
     ~takeover_driver();
 
     void set_endpoints(const endpoint_list& endpoints);
-    void set_hosts(std::vector<std::string> hosts);
+    /// Who claims first: the service's homes, which see most of it, then the
+    /// other hosts.
+    void set_claims(const home_plan& plan,
+                    const std::vector<fleet_host>& hosts);
     void on_health(const std::string& service, const primary_health& health);
     void on_row(const std::string& service, const table_row& row);
 
@@ -101,6 +105,7 @@
     boost::asio::steady_timer timer_;
     bool armed_ = false;
     std::vector<std::string> hosts_;
+    home_plan plan_;
     std::map<std::string, service_state> services_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/node/traffic_front.cc
+++ b/node/traffic_front.cc
@@ -12,9 +12,9 @@
 namespace
 {
 
-// Connections of an endpoint that no proxy counts on: for takeovers, and for a
-// proxy that was just added or whose predecessor's connections linger.
-constexpr std::size_t connection_reserve = 3;
+// Runs that were on the way when the others were told that this proxy leaves
+// arrive within it.
+constexpr std::int64_t peers_leave_ms = 500;
 
 // Below half of the shortest silence that a takeover looks at.
 constexpr std::int64_t worth_reporting_ms = 300;
@@ -22,7 +22,12 @@
 } // namespace
 
 traffic_front::traffic_front(boost::asio::io_context& loop, options opts)
-    : loop_(loop), options_(std::move(opts)), acceptor_(loop), timer_(loop)
+    : loop_(loop), options_(std::move(opts)), acceptor_(loop), timer_(loop),
+      homes_(loop), peers_(loop,
+                           [this](const std::string& service)
+                           {
+                               return group_of(service);
+                           })
 {
     around_ = {.codec_ = options_.codec_,
                .counters_ = &counters_,
@@ -35,10 +40,10 @@
                    return at == routes_->by_database_.end() ? nullptr
                                                             : &at->second;
                },
-               .group_of_ =
+               .gateway_of_ =
                    [this](const std::string& service)
                {
-                   return group_of(service);
+                   return gateway_of(service);
                },
                .has_routes_ =
                    [this]
@@ -60,6 +65,11 @@
     if (auto listens = listen_on(acceptor_, options_.callers_address_);
         !listens)
         return listens;
+    if (!options_.peers_address_.empty())
+    {
+        if (auto listens = peers_.start(options_.peers_address_); !listens)
+            return listens;
+    }
     accept_next();
     schedule_tick();
     return {};
@@ -68,9 +78,11 @@
 void traffic_front::accept_next()
 {
     acceptor_.async_accept(
-        [this](io_error wrong, tcp_socket socket)
+        [this, alive = std::weak_ptr<bool>(alive_)](io_error wrong,
+                                                    tcp_socket socket)
         {
-            if (wrong == boost::asio::error::operation_aborted)
+            if (alive.expired() ||
+                wrong == boost::asio::error::operation_aborted)
                 return;
             if (!wrong)
             {
@@ -87,9 +99,9 @@
 {
     timer_.expires_after(std::chrono::milliseconds(options_.tick_ms_));
     timer_.async_wait(
-        [this](io_error wrong)
+        [this, alive = std::weak_ptr<bool>(alive_)](io_error wrong)
         {
-            if (wrong)
+            if (wrong || alive.expired())
                 return;
             tick();
             schedule_tick();
@@ -104,8 +116,10 @@
                   {
                       return !session->tick(now);
                   });
-    for (auto& [name, group] : groups_)
-        group->tick(now);
+    homes_.tick(now);
+    for (auto& [name, gateway] : gateways_)
+        gateway->tick(now);
+    peers_.tick(now);
     report_health(now);
     if (drained_)
         tick_drain(now);
@@ -124,14 +138,16 @@
                 session->end_transaction();
             session->drain();
         }
+        if (half)
+            peers_.end_transactions();
     }
     std::erase_if(sessions_,
                   [](const std::shared_ptr<caller_session>& session)
                   {
                       return session->is_over();
                   });
-    bool quiet = sessions_.empty() && !acceptor_.is_open();
-    if (!quiet && now < drain_until_)
+    bool told = now - drain_since_ > peers_leave_ms;
+    if (!(told && is_quiet()) && now < drain_until_)
         return;
     log_line(
         log_level::info, "drained",
@@ -144,25 +160,26 @@
     drain_since_ = monotonic_now();
     drain_until_ = drain_since_ + limit_ms;
     drained_ = std::move(done);
+    peers_.leave();
 }
 
-std::shared_ptr<endpoint_group>
-traffic_front::group_of(const std::string& service)
+bool traffic_front::is_quiet() const
 {
-    auto at = groups_.find(service);
-    return at == groups_.end() ? nullptr : at->second;
+    return sessions_.empty() && !acceptor_.is_open() && peers_.is_quiet();
 }
 
-std::size_t traffic_front::share_of(const std::string& service) const
+std::shared_ptr<service_gateway>
+traffic_front::gateway_of(const std::string& service)
+{
+    auto at = gateways_.find(service);
+    return at == gateways_.end() ? nullptr : at->second;
+}
+
+std::shared_ptr<endpoint_group>
+traffic_front::group_of(const std::string& service)
 {
-    auto at = routes_->services_.find(service);
-    if (at == routes_->services_.end() || at->second.max_connections_ <= 0)
-        return 1;
-    auto most = static_cast<std::size_t>(at->second.max_connections_);
-    std::size_t shared =
-        most > connection_reserve ? most - connection_reserve : 1;
-    return std::max<std::size_t>(shared / std::max<std::size_t>(proxies_, 1),
-                                 1);
+    auto gateway = gateway_of(service);
+    return gateway ? gateway->group() : nullptr;
 }
 
 void traffic_front::set_routes(route_table_ptr routes)
@@ -178,10 +195,10 @@
 }
 
 void traffic_front::set_endpoints(endpoint_list_ptr endpoints,
-                                  std::size_t proxies)
+                                  home_plan_ptr plan)
 {
     endpoints_ = std::move(endpoints);
-    proxies_ = proxies;
+    plan_ = std::move(plan);
     apply_endpoints();
 }
 
@@ -200,18 +217,24 @@
     instant now = monotonic_now();
     for (const auto& [name, entries] : by_service)
     {
-        auto& group = groups_[name];
-        if (!group)
+        auto& gateway = gateways_[name];
+        if (!gateway)
         {
-            group = std::make_shared<endpoint_group>(
+            auto group = std::make_shared<endpoint_group>(
                 loop_,
                 endpoint_group::options{.link_ = {.codec_ = options_.codec_,
                                                   .user_ = options_.host_name_},
                                         .data_centre_ = options_.data_centre_});
             if (promotions_.contains(name))
                 group->set_promotion(promotions_[name]);
+            gateway = std::make_shared<service_gateway>(group, homes_);
         }
-        group->set_endpoints(entries, share_of(name), now);
+        service_homes homes{.own_ = true};
+        if (auto planned = plan_->find(name); planned != plan_->end())
+            homes = planned->second;
+        std::size_t share = homes.own_ ? homes.share_ : 0;
+        gateway->set_homes(std::move(homes));
+        gateway->group()->set_endpoints(entries, share, now);
     }
 }
 
@@ -227,9 +250,9 @@
 {
     if (!on_health_)
         return;
-    for (const auto& [name, group] : groups_)
+    for (const auto& [name, gateway] : gateways_)
     {
-        primary_health health = group->health();
+        primary_health health = gateway->group()->health();
         // Short waits are the rule and not worth a word to the control side.
         for (instant* since :
              {&health.unanswered_since_, &health.write_unanswered_since_})
@@ -262,9 +285,11 @@
     for (const auto& [error, count] : counters_.refused_)
         out << "tanager_refused_total{error=\"" << error << "\"} " << count
             << '\n';
-    for (const auto& [name, group] : groups_)
+    out << "tanager_home_links " << homes_.open_links() << '\n'
+        << "tanager_peer_runs_total " << peers_.runs() << '\n';
+    for (const auto& [name, gateway] : gateways_)
         out << "tanager_waiting{service=\"" << name << "\"} "
-            << group->waiting() << '\n';
+            << gateway->group()->waiting() << '\n';
     counters_.latencies_.write_prometheus(out, "tanager_statement_latency");
     return out.str();
 }
--- a/node/traffic_front.h
+++ b/node/traffic_front.h
@@ -1,10 +1,10 @@
 #ifndef TANAGERSPAN_NODE_TRAFFIC_FRONT_H
 #define TANAGERSPAN_NODE_TRAFFIC_FRONT_H
 
-// The traffic side of a proxy: accepts callers, holds their sessions and the
-// endpoint groups, and ticks them. It reads immutable route tables and
-// endpoint lists that the control side hands in and decides nothing about
-// the fleet.
+// The traffic side of a proxy: accepts callers and, as a home of services,
+// other proxies, holds sessions and the ways to services, and ticks them. It
+// reads immutable route tables and endpoint lists that the control side hands
+// in and decides nothing about the fleet.
 //
 // All functions on the loop's thread; the control side posts to it.
 
@@ -16,8 +16,10 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "coordination/home_plan.h"
 #include "node/caller_session.h"
-#include "node/endpoint_group.h"
+#include "node/peer_port.h"
+#include "node/service_gateway.h"
 
 namespace tanagerspan
 {
@@ -31,6 +33,7 @@
         std::string host_name_;
         std::string data_centre_;
         std::string callers_address_;
+        std::string peers_address_; ///< empty: no other proxy is served
         /// How often timeouts are looked at: a fraction of the shortest
         /// limit, and few enough wake-ups to cost nothing.
         std::int64_t tick_ms_ = 40;
@@ -45,8 +48,8 @@
     result<void> start();
 
     void set_routes(route_table_ptr routes);
-    /// `proxies`: how many share the endpoints' connections.
-    void set_endpoints(endpoint_list_ptr endpoints, std::size_t proxies);
+    /// A service that is not in the plan has this proxy as its only home.
+    void set_endpoints(endpoint_list_ptr endpoints, home_plan_ptr plan);
     void set_promotion(const std::string& service, promotion_record record);
 
     /// Ends idle sessions after a while and the rest as they become idle.
@@ -68,9 +71,10 @@
     void tick();
     void tick_drain(instant now);
     void report_health(instant now);
+    std::shared_ptr<service_gateway> gateway_of(const std::string& service);
     std::shared_ptr<endpoint_group> group_of(const std::string& service);
     void apply_endpoints();
-    std::size_t share_of(const std::string& service) const;
+    bool is_quiet() const;
 
     boost::asio::io_context& loop_;
     options options_;
@@ -79,15 +83,18 @@
     session_counters counters_;
     session_surroundings around_;
     std::list<std::shared_ptr<caller_session>> sessions_;
-    std::map<std::string, std::shared_ptr<endpoint_group>> groups_;
+    home_pool homes_;
+    std::map<std::string, std::shared_ptr<service_gateway>> gateways_;
+    peer_port peers_;
     std::map<std::string, promotion_record> promotions_;
     std::map<std::string, primary_health> reported_;
     route_table_ptr routes_;
     endpoint_list_ptr endpoints_;
-    std::size_t proxies_ = 1;
+    home_plan_ptr plan_;
     instant drain_since_ = never;
     instant drain_until_ = never;
     std::function<void()> drained_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace tanagerspan
--- a/protocol/peer_frame.cc
+++ b/protocol/peer_frame.cc
@@ -151,11 +151,28 @@
         return fail(error_code::bad_version,
                     "frame: version " + whole[0].dump() + ", spoken: 1");
     auto type = whole[1].get<std::uint64_t>();
-    if (type < 1 || type > 4)
+    if (type < 1 || type > last_frame_type)
         return fail(error_code::malformed, "frame: type " + whole[1].dump());
     return peer_frame{.type_ = static_cast<frame_type>(type),
                       .correlation_ = whole[2].get<std::uint64_t>(),
                       .body_ = std::move(whole[3])};
 }
 
+result<std::optional<peer_frame>> take_frame(std::string& buffer)
+{
+    if (buffer.size() < frame_header_bytes)
+        return std::nullopt;
+    auto size = decode_length(std::span(buffer.data(), frame_header_bytes));
+    if (!size)
+        return tl::unexpected(size.error());
+    if (buffer.size() < frame_header_bytes + *size)
+        return std::nullopt;
+    auto frame =
+        decode_payload(std::span(buffer.data() + frame_header_bytes, *size));
+    if (!frame)
+        return tl::unexpected(frame.error());
+    buffer.erase(0, frame_header_bytes + *size);
+    return std::move(*frame);
+}
+
 } // namespace tanagerspan
--- a/protocol/peer_frame.h
+++ b/protocol/peer_frame.h
@@ -10,6 +10,7 @@
 // on is closed, since nothing after it can be trusted.
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -29,8 +30,16 @@
     forward = 1,   ///< a caller's request for a service's home proxy
     forwarded = 2, ///< its answer
     gossip = 3,    ///< membership and settings
-    gossip_back = 4
+    gossip_back = 4,
+    run = 5,       ///< a statement for a service's home, see run_messages.h
+    run_done = 6,  ///< its outcome
+    abandon = 7,   ///< the run of this correlation is not awaited any more
+    roll_back = 8, ///< the transaction of this correlation is over
+    leaving = 9,   ///< the sender takes no new work
+    probe = 10,    ///< answered at once
+    probe_back = 11
 };
+constexpr std::uint64_t last_frame_type = 11;
 
 struct peer_frame
 {
@@ -48,6 +57,10 @@
 /// Errors: malformed, bad_version.
 result<peer_frame> decode_payload(std::span<const char> payload);
 
+/// Removes one whole frame from the front of `buffer`; nullopt when more
+/// bytes are needed. Errors: as the functions above.
+result<std::optional<peer_frame>> take_frame(std::string& buffer);
+
 } // namespace tanagerspan
 
 #endif
--- a/protocol/protocol_test.cc
+++ b/protocol/protocol_test.cc
@@ -89,7 +89,7 @@
         CPPUNIT_ASSERT(decode_payload(payload_of(other)).error().code_ ==
                        error_code::bad_version);
         other = bytes;
-        other[6] = 9; // the type
+        other[6] = static_cast<char>(last_frame_type + 1);
         CPPUNIT_ASSERT(decode_payload(payload_of(other)).error().code_ ==
                        error_code::malformed);
         const std::string huge("\x7f\xff\xff\xff", 4);
--- /dev/null
+++ b/protocol/run_messages.cc
@@ -0,0 +1,134 @@
+#include "protocol/run_messages.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+enum begin_code : std::int64_t
+{
+    no_begin,
+    plain_begin,
+    read_only_begin
+};
+
+std::int64_t code_of(std::optional<statement_kind> begin)
+{
+    if (!begin)
+        return no_begin;
+    return *begin == statement_kind::begin ? plain_begin : read_only_begin;
+}
+
+std::optional<statement_kind> begin_of(std::int64_t code)
+{
+    if (code == no_begin)
+        return std::nullopt;
+    return code == plain_begin ? statement_kind::begin
+                               : statement_kind::begin_read_only;
+}
+
+} // namespace
+
+run_request to_request(const remote_statement& from, instant now)
+{
+    const statement& what = from.what_;
+    const database_route& route = from.route_;
+    run_request out{.kind_ = static_cast<std::int64_t>(what.kind_),
+                    .id_ = what.id_,
+                    .name_ = what.name_,
+                    .arguments_ = what.arguments_,
+                    .writes_ = from.writes_,
+                    .begin_ = code_of(from.begin_),
+                    .transaction_ = from.transaction_,
+                    .route_ = route.name_,
+                    .database_ = route.database_,
+                    .service_ = route.service_,
+                    .rule_ = static_cast<std::int64_t>(route.rule_),
+                    .timeout_ms_ = route.timeout_ms_,
+                    .target_latency_ms_ = route.target_latency_ms_,
+                    .max_staleness_ms_ = route.max_staleness_ms_,
+                    .priority_ = route.priority_,
+                    .age_ms_ = now - from.arrived_,
+                    .values_ = from.values_};
+    if (from.shape_)
+    {
+        out.has_shape_ = true;
+        out.shape_writes_ = from.shape_->writes_;
+        out.shape_ = from.shape_->shape_;
+    }
+    if (from.own_commit_)
+    {
+        out.has_commit_ = true;
+        out.commit_term_ = from.own_commit_->at_.term_;
+        out.commit_index_ = from.own_commit_->at_.index_;
+        out.commit_age_ms_ = now - from.own_commit_->since_;
+    }
+    return out;
+}
+
+remote_statement from_request(const run_request& from, instant now)
+{
+    remote_statement out{
+        .what_ = {.kind_ = static_cast<statement_kind>(from.kind_),
+                  .id_ = from.id_,
+                  .name_ = from.name_,
+                  .arguments_ = from.arguments_,
+                  .writes_ = from.writes_},
+        .writes_ = from.writes_,
+        .begin_ = begin_of(from.begin_),
+        .transaction_ = from.transaction_,
+        .route_ = {.name_ = from.route_,
+                   .database_ = from.database_,
+                   .service_ = from.service_,
+                   .rule_ = static_cast<read_rule>(from.rule_),
+                   .timeout_ms_ = from.timeout_ms_,
+                   .target_latency_ms_ = from.target_latency_ms_,
+                   .max_staleness_ms_ = from.max_staleness_ms_,
+                   .priority_ = from.priority_},
+        .arrived_ = now - from.age_ms_,
+        .values_ = from.values_};
+    if (from.has_shape_)
+        out.shape_ = prepared_shape{from.shape_writes_, from.shape_};
+    if (from.has_commit_)
+        out.own_commit_ = {{from.commit_term_, from.commit_index_},
+                           now - from.commit_age_ms_};
+    return out;
+}
+
+run_answer to_answer(const remote_outcome& from)
+{
+    const reply& answer = from.answer_;
+    run_answer out{.not_here_ = from.not_here_,
+                   .rows_ = answer.rows_,
+                   .text_ = answer.text_,
+                   .state_ = static_cast<std::int64_t>(answer.state_),
+                   .transaction_open_ = from.transaction_open_,
+                   .rolled_back_ = from.rolled_back_};
+    if (answer.error_)
+        out.error_ = static_cast<std::int64_t>(*answer.error_);
+    if (answer.position_)
+    {
+        out.has_position_ = true;
+        out.term_ = answer.position_->term_;
+        out.index_ = answer.position_->index_;
+    }
+    return out;
+}
+
+remote_outcome from_answer(const run_answer& from)
+{
+    remote_outcome out{
+        .not_here_ = from.not_here_,
+        .answer_ = {.rows_ = from.rows_,
+                    .text_ = from.text_,
+                    .state_ = static_cast<transaction_state>(from.state_)},
+        .transaction_open_ = from.transaction_open_,
+        .rolled_back_ = from.rolled_back_};
+    if (from.error_ >= 0)
+        out.answer_.error_ = static_cast<reply_error>(from.error_);
+    if (from.has_position_)
+        out.answer_.position_ = log_position{from.term_, from.index_};
+    return out;
+}
+
+} // namespace tanagerspan
--- /dev/null
+++ b/protocol/run_messages_test.cc
@@ -0,0 +1,175 @@
+// Tests of statements between proxies: what arrives is what was sent, and
+// nothing looks younger or older than it may.
+
+#include <rapidcheck.h>
+
+#include "protocol/peer_frame.h"
+#include "protocol/run_messages.h"
+#include "testing/check.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+remote_statement sample(bool full)
+{
+    remote_statement out{
+        .what_ = {.kind_ = statement_kind::execute,
+                  .id_ = *rc::gen::arbitrary<std::string>(),
+                  .name_ = *rc::gen::arbitrary<std::string>(),
+                  .arguments_ = *rc::gen::arbitrary<std::string>()},
+        .transaction_ = *rc::gen::inRange<std::uint64_t>(0, 1000),
+        .route_ = {.name_ = "r",
+                   .database_ = "d",
+                   .service_ = "s",
+                   .rule_ = read_rule::read_your_writes,
+                   .timeout_ms_ = 800,
+                   .target_latency_ms_ = 250,
+                   .max_staleness_ms_ = 2500,
+                   .priority_ = 2},
+        .arrived_ = instant{*rc::gen::inRange<std::int64_t>(0, 5000)}};
+    if (!full)
+        return out;
+    out.shape_ = prepared_shape{true, *rc::gen::arbitrary<std::string>()};
+    out.writes_ = out.what_.writes_ = true;
+    out.begin_ = statement_kind::begin;
+    out.values_["tz"] = *rc::gen::arbitrary<std::string>();
+    out.own_commit_ = {{3, 99},
+                       instant{*rc::gen::inRange<std::int64_t>(0, 5000)}};
+    return out;
+}
+
+/// Over the wire, which takes `travel_ms`.
+remote_statement sent(const remote_statement& what, std::int64_t travel_ms)
+{
+    constexpr instant now{5000};
+    auto bytes =
+        encode_frame({frame_type::run, 7, encode(to_request(what, now))});
+    auto frame = take_frame(bytes);
+    CPPUNIT_ASSERT(frame && *frame && bytes.empty());
+    auto body = decode<run_request>((*frame)->body_);
+    CPPUNIT_ASSERT(body.has_value());
+    return from_request(*body, now + travel_ms);
+}
+
+class run_messages_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(run_messages_test);
+    CPPUNIT_TEST(a_statement_arrives_as_it_was_sent);
+    CPPUNIT_TEST(an_outcome_arrives_as_it_was_sent);
+    CPPUNIT_TEST(a_commit_never_looks_older_than_it_is);
+    CPPUNIT_TEST(values_out_of_range_are_refused);
+    CPPUNIT_TEST(a_frame_split_anywhere_is_taken_once_whole);
+    CPPUNIT_TEST_SUITE_END();
+
+    void a_statement_arrives_as_it_was_sent()
+    {
+        CHECK_PROPERTY("statements pass unchanged",
+                       []
+                       {
+                           for (bool full : {false, true})
+                           {
+                               remote_statement what = sample(full);
+                               remote_statement got = sent(what, 0);
+                               RC_ASSERT(got.what_ == what.what_);
+                               RC_ASSERT(got.shape_ == what.shape_);
+                               RC_ASSERT(got.writes_ == what.writes_);
+                               RC_ASSERT(got.begin_ == what.begin_);
+                               RC_ASSERT(got.transaction_ == what.transaction_);
+                               RC_ASSERT(got.values_ == what.values_);
+                               RC_ASSERT(got.arrived_ == what.arrived_);
+                               RC_ASSERT(got.route_.rule_ == what.route_.rule_);
+                               RC_ASSERT(got.route_.timeout_ms_ ==
+                                         what.route_.timeout_ms_);
+                               RC_ASSERT(got.own_commit_.has_value() == full);
+                           }
+                       });
+    }
+
+    void an_outcome_arrives_as_it_was_sent()
+    {
+        for (int error = -1; error <= static_cast<int>(reply_error::in_doubt);
+             ++error)
+        {
+            for (auto state : {transaction_state::idle, transaction_state::open,
+                               transaction_state::failed})
+            {
+                remote_outcome out{.answer_ = {.rows_ = {"a", "b\r\n"},
+                                               .text_ = "7.1f",
+                                               .state_ = state},
+                                   .transaction_open_ = error % 2 == 0,
+                                   .rolled_back_ = error % 3 == 0};
+                if (error >= 0)
+                    out.answer_.error_ = static_cast<reply_error>(error);
+                else
+                    out.answer_.position_ = log_position{2, 8};
+                auto body = decode<run_answer>(encode(to_answer(out)));
+                CPPUNIT_ASSERT(body.has_value());
+                remote_outcome got = from_answer(*body);
+                CPPUNIT_ASSERT(got.answer_ == out.answer_);
+                CPPUNIT_ASSERT(got.transaction_open_ == out.transaction_open_);
+                CPPUNIT_ASSERT(got.rolled_back_ == out.rolled_back_);
+            }
+        }
+    }
+
+    // A mark that was asked for before the commit must not count as later.
+    void a_commit_never_looks_older_than_it_is()
+    {
+        CHECK_PROPERTY("ages",
+                       []
+                       {
+                           remote_statement what = sample(true);
+                           auto travel =
+                               *rc::gen::inRange<std::int64_t>(0, 900);
+                           remote_statement got = sent(what, travel);
+                           RC_ASSERT(got.own_commit_->since_ ==
+                                     what.own_commit_->since_ + travel);
+                           RC_ASSERT(got.arrived_ == what.arrived_ + travel);
+                       });
+    }
+
+    void values_out_of_range_are_refused()
+    {
+        auto good = encode(run_request{});
+        CPPUNIT_ASSERT(decode<run_request>(good).has_value());
+        for (const char* name : {"k", "b", "ru", "to", "age", "ca"})
+        {
+            for (std::int64_t value : {std::int64_t{-1}, std::int64_t{-99}})
+            {
+                auto bad = good;
+                bad[name] = value;
+                CPPUNIT_ASSERT_MESSAGE(name,
+                                       !decode<run_request>(bad).has_value());
+            }
+            auto bad = good;
+            bad[name] = "x";
+            CPPUNIT_ASSERT(!decode<run_request>(bad).has_value());
+        }
+        auto answer = encode(run_answer{});
+        answer["e"] = 99;
+        CPPUNIT_ASSERT(!decode<run_answer>(answer).has_value());
+    }
+
+    void a_frame_split_anywhere_is_taken_once_whole()
+    {
+        auto bytes =
+            encode_frame({frame_type::run, 7, encode(run_request{.id_ = "x"})});
+        for (std::size_t cut = 0; cut < bytes.size(); ++cut)
+        {
+            std::string buffer = bytes.substr(0, cut);
+            auto none = take_frame(buffer);
+            CPPUNIT_ASSERT(none && !*none);
+            buffer += bytes.substr(cut) + bytes.substr(0, 3);
+            auto whole = take_frame(buffer);
+            CPPUNIT_ASSERT(whole && *whole);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{3}, buffer.size());
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(run_messages_test);
+
+} // namespace
+} // namespace tanagerspan
