A fleet that starts anew opens no storm of connections

Ruled out: the store (139 tables listed in half a second) and the members' capacity. Change: sessions wait for the routes, up to 1.5 s; homes listen for others once they have routes and endpoints; nothing is published before hosts, endpoints and routes are known; statements wait for a home before they fall back; a home of a large fleet has a share of four and keeps half. Feeds ask again a little later after changes and hold 28 s: fewer calls. Test a_restart_of_all_finds_room fails with a share of three (45 kept connections after 15 homes). Tests: 57 coordination, 60 node, 11 protocol passed.

--- a/coordination/home_plan.cc
+++ b/coordination/home_plan.cc
@@ -13,10 +13,15 @@
 // a home that was just added or whose predecessor's connections linger.
 constexpr std::int64_t connection_reserve = 3;
 
-// A home with fewer connections to an endpoint can't keep one for
+// A host with fewer connections to an endpoint can't keep one for
 // transactions, one for the rest and one to move between them.
 constexpr std::int64_t least_share = 3;
 
+// Where not all hosts can be homes, a home has this many. It keeps half of
+// them, so that after a loss of power, whose connections an endpoint drops
+// only after seconds, the same number can be opened anew.
+constexpr std::int64_t home_share = 4;
+
 std::int64_t shared_connections(const service_capacity& capacity)
 {
     return std::max<std::int64_t>(capacity.connections_ - connection_reserve,
@@ -47,13 +52,18 @@
 {
     if (capacity.connections_ <= 0)
         return hosts;
+    std::int64_t shared = shared_connections(capacity);
+    auto count = static_cast<std::int64_t>(hosts);
     // More homes than slots would offer more at a time than is worked on,
     // whatever each of them holds back.
-    std::int64_t most =
-        std::max<std::int64_t>(shared_connections(capacity) / least_share, 1);
+    bool all = count * least_share <= shared &&
+               (capacity.slots_ <= 0 || count <= capacity.slots_);
+    if (all)
+        return hosts;
+    std::int64_t most = std::max<std::int64_t>(shared / home_share, 1);
     if (capacity.slots_ > 0)
         most = std::min(most, capacity.slots_);
-    return std::min(hosts, static_cast<std::size_t>(most));
+    return static_cast<std::size_t>(std::min(count, most));
 }
 
 std::vector<fleet_host> choose_homes(std::string_view service,
--- a/daemons/tanager_edge_main.cc
+++ b/daemons/tanager_edge_main.cc
@@ -115,7 +115,7 @@
     {
         if (target == "/ready")
         {
-            bool ready = !draining_ && front_.has_routes();
+            bool ready = !draining_ && front_.is_ready();
             return {ready ? 200 : 503, ready ? "ready\n" : "not ready\n"};
         }
         if (target == "/metrics")
--- a/node/caller_session.cc
+++ b/node/caller_session.cc
@@ -13,6 +13,11 @@
 constexpr std::string_view no_digest = "-";
 constexpr std::int64_t us_per_ms = 1000;
 
+// A session that is opened before the routes are known waits this long:
+// after a start they are there in a fraction of it, and callers give up at
+// two seconds.
+constexpr std::int64_t longest_open_ms = 1500;
+
 std::string_view class_of(const database_route& route)
 {
     switch (route.rule_)
@@ -75,7 +80,7 @@
     if (std::exchange(taking_, true))
         return;
     auto self = shared_from_this();
-    while (!over_ && !run_)
+    while (!over_ && !run_ && !waiting_open_)
     {
         auto got = around_.codec_->take_caller_message(stream_->input());
         if (!got)
@@ -102,6 +107,16 @@
 
 void caller_session::on_open(const open_session& wanted)
 {
+    if (!opened_ && !around_.is_ready_())
+    {
+        if (open_since_ == never)
+            open_since_ = last_active_;
+        if (last_active_ - open_since_ < longest_open_ms)
+        {
+            waiting_open_ = wanted;
+            return;
+        }
+    }
     bool known = around_.route_of_(wanted.database_) != nullptr;
     if (known && !opened_)
     {
@@ -109,9 +124,9 @@
         database_ = wanted.database_;
         return answer({});
     }
-    reply_error error = opened_                 ? reply_error::malformed
-                        : around_.has_routes_() ? reply_error::no_database
-                                                : reply_error::busy;
+    reply_error error = opened_               ? reply_error::malformed
+                        : around_.is_ready_() ? reply_error::no_database
+                                              : reply_error::busy;
     std::string out;
     around_.codec_->put_open_refusal(out, error, wanted.database_);
     stream_->send(out);
@@ -122,6 +137,14 @@
     end("refused");
 }
 
+void caller_session::retry_open(instant now)
+{
+    last_active_ = now;
+    on_open(*std::exchange(waiting_open_, std::nullopt));
+    if (!waiting_open_)
+        take_messages();
+}
+
 transaction_state caller_session::state() const
 {
     if (failed_)
@@ -321,6 +344,8 @@
 {
     if (over_)
         return false;
+    if (waiting_open_)
+        retry_open(now);
     if (auto running = run_)
         running->tick(now);
     bool rests = !run_ && (begin_ || open_) &&
--- a/node/caller_session.h
+++ b/node/caller_session.h
@@ -47,7 +47,8 @@
     std::function<const database_route*(const std::string&)> route_of_;
     std::function<std::shared_ptr<service_gateway>(const std::string&)>
         gateway_of_;
-    std::function<bool()> has_routes_;
+    /// Routes and endpoints are known.
+    std::function<bool()> is_ready_;
     std::function<std::int64_t()> transaction_idle_ms_;
 };
 
@@ -82,6 +83,7 @@
     }
     void take_messages();
     void on_open(const open_session& wanted);
+    void retry_open(instant now);
     void on_statement(const statement& what);
     bool answer_here(const statement& what);
     void begin(const statement& what);
@@ -102,6 +104,8 @@
     std::shared_ptr<byte_stream> stream_;
     std::string database_;
     bool opened_ = false;
+    std::optional<open_session> waiting_open_; ///< until routes are known
+    instant open_since_ = never;
     bool over_ = false;
     bool draining_ = false;
     bool taking_ = false;
--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -11,9 +11,16 @@
 namespace
 {
 
-table_feed::options feed_of(const std::string& table, std::uint64_t seed)
+// Changes come in series: settings by storm, entries when endpoints start or
+// lapse together. Asking again a little later brings several at once; both
+// have bounds of seconds.
+constexpr std::int64_t settings_gap_ms = 100;
+constexpr std::int64_t entries_gap_ms = 250;
+
+table_feed::options feed_of(const std::string& table, std::uint64_t seed,
+                            std::int64_t gap_ms)
 {
-    return {.table_ = table, .seed_ = seed};
+    return {.table_ = table, .gap_ms_ = gap_ms, .seed_ = seed};
 }
 
 } // namespace
@@ -22,13 +29,15 @@
                              promotion_gate& gate, options opts, outputs to)
     : store_(store), options_(std::move(opts)), outputs_(std::move(to)),
       settings_(loop, store,
-                feed_of(options_.format_.settings_table_, options_.seed_),
+                feed_of(options_.format_.settings_table_, options_.seed_,
+                        settings_gap_ms),
                 [this](const rows& current)
                 {
                     on_settings(current);
                 }),
       endpoints_(loop, store,
-                 feed_of(options_.format_.endpoints_table_, options_.seed_),
+                 feed_of(options_.format_.endpoints_table_, options_.seed_,
+                         entries_gap_ms),
                  [this](const rows& current)
                  {
                      on_endpoints(current);
@@ -38,7 +47,7 @@
              {
                  on_hosts(live);
              }),
-      promotions_(loop, store, feed_of(promotions_table, options_.seed_),
+      promotions_(loop, store, feed_of(promotions_table, options_.seed_, 0),
                   [this](const rows& current)
                   {
                       on_promotions(current);
@@ -100,6 +109,7 @@
 
 void fleet_control::on_endpoints(const rows& current)
 {
+    endpoints_listed_ = true;
     instant now = monotonic_now();
     for (const auto& [id, row] : current)
     {
@@ -123,6 +133,11 @@
 
 void fleet_control::publish_endpoints()
 {
+    // Before all is known this host would take itself for the only home of
+    // every service, and open connections that it has no share of.
+    bool known = routes_ && endpoints_listed_ && !live_.empty();
+    if (!known)
+        return;
     instant now = monotonic_now();
     auto list = std::make_shared<endpoint_list>();
     std::erase_if(known_,
--- a/node/fleet_control.h
+++ b/node/fleet_control.h
@@ -92,6 +92,7 @@
     std::map<std::string, endpoint_entry> known_;
     std::map<std::string, instant> missing_since_;
     std::vector<fleet_host> live_;
+    bool endpoints_listed_ = false;
     route_table_ptr routes_;
 };
 
--- a/node/home_link.h
+++ b/node/home_link.h
@@ -118,8 +118,9 @@
     std::size_t open_links() const;
 
 private:
-    /// Between attempts: an ended process is back or replaced in seconds.
-    static constexpr std::int64_t retry_ms = 200;
+    /// Between attempts: an ended process is back within a second or two, and
+    /// an attempt costs a packet.
+    static constexpr std::int64_t retry_ms = 100;
 
     struct entry
     {
--- a/node/remote_run.cc
+++ b/node/remote_run.cc
@@ -1,5 +1,6 @@
 #include "node/remote_run.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "node/statement_run.h"
@@ -28,13 +29,17 @@
 
 void remote_run::next_home()
 {
+    instant now = monotonic_now();
     phase_ = phase::waiting;
-    if (excluded_.size() >= max_homes)
-        return run_here();
-    auto choice = gateway_->pick_home(excluded_, monotonic_now());
-    if (choice.link_)
-        return send(std::move(choice.link_));
-    if (!choice.opening_)
+    if (waiting_since_ == never)
+        waiting_since_ = now;
+    if (auto link = gateway_->pick_home(excluded_, now))
+        return send(std::move(link));
+    // All were tried or can't be reached: what changed meanwhile may serve.
+    excluded_.clear();
+    std::int64_t most =
+        std::min(home_wait_ms, options_.route_.timeout_ms_ / wait_part);
+    if (now - waiting_since_ >= most)
         run_here();
 }
 
@@ -44,7 +49,7 @@
     log_line(log_level::info, "no_home_reached",
              {{"request", options_.what_.id_},
               {"service", options_.route_.service_},
-              {"tried", excluded_.size()}});
+              {"waited_ms", monotonic_now() - waiting_since_}});
     local_ = std::make_shared<statement_run>(gateway_->group(), options_,
                                              std::exchange(done_, nullptr));
     local_->start();
--- a/node/remote_run.h
+++ b/node/remote_run.h
@@ -46,7 +46,12 @@
     /// The home answers by the statement's deadline; its answer is on the way
     /// for a round trip and a turn of a busy process.
     static constexpr std::int64_t answer_margin_ms = 60;
-    static constexpr std::size_t max_homes = 6;
+    /// A statement waits this long for a home to become reachable: about as
+    /// long as a process takes to start. A connection of this proxy's own
+    /// comes last, since all hosts of the fleet may be in the same need.
+    static constexpr std::int64_t home_wait_ms = 400;
+    /// And at most this part of its timeout.
+    static constexpr std::int64_t wait_part = 3;
 
     void next_home();
     void run_here();
@@ -66,7 +71,8 @@
     phase phase_ = phase::waiting;
     std::shared_ptr<home_link> home_;
     std::uint64_t run_ = 0;
-    std::vector<std::string> excluded_;
+    std::vector<std::string> excluded_; ///< homes that were tried
+    instant waiting_since_ = never;
     std::shared_ptr<caller_run> local_;
 };
 
--- a/node/service_gateway.cc
+++ b/node/service_gateway.cc
@@ -40,10 +40,9 @@
         open.home_->roll_back(open.number_);
 }
 
-service_gateway::home_choice
+std::shared_ptr<home_link>
 service_gateway::pick_home(std::span<const std::string> excluded, instant now)
 {
-    home_choice out;
     for (const auto& home : homes_.route_)
     {
         bool tried = std::find(excluded.begin(), excluded.end(), home.name_) !=
@@ -52,10 +51,9 @@
             continue;
         auto link = pool_.link_to(home, now);
         if (link && link->is_usable())
-            return {.link_ = std::move(link)};
-        out.opening_ = out.opening_ || (link && link->is_opening());
+            return link;
     }
-    return out;
+    return nullptr;
 }
 
 void service_gateway::tick(instant now)
--- a/node/service_gateway.h
+++ b/node/service_gateway.h
@@ -38,13 +38,9 @@
     /// Keeps the links that are used first, and the group's connections.
     void tick(instant now);
 
-    /// Null with `opening_`: none is usable yet, but one may soon be.
-    struct home_choice
-    {
-        std::shared_ptr<home_link> link_;
-        bool opening_ = false;
-    };
-    home_choice pick_home(std::span<const std::string> excluded, instant now);
+    /// The first home that takes work; null if there is none now.
+    std::shared_ptr<home_link> pick_home(std::span<const std::string> excluded,
+                                         instant now);
 
     const std::shared_ptr<endpoint_group>& group() const
     {
--- a/node/table_feed.cc
+++ b/node/table_feed.cc
@@ -85,9 +85,23 @@
                 else
                     rows_[row.key_] = std::move(row);
             }
-            if (!got->rows_.empty())
-                changed_(rows_);
-            watch(options_.wait_ms_);
+            if (got->rows_.empty())
+                return watch(options_.wait_ms_);
+            changed_(rows_);
+            watch_after_gap();
+        });
+}
+
+void table_feed::watch_after_gap()
+{
+    if (options_.gap_ms_ <= 0)
+        return watch(options_.wait_ms_);
+    timer_.expires_after(std::chrono::milliseconds(options_.gap_ms_));
+    timer_.async_wait(
+        [this, alive = std::weak_ptr<bool>(alive_)](io_error cancelled)
+        {
+            if (!cancelled && !alive.expired())
+                watch(options_.wait_ms_);
         });
 }
 
--- a/node/table_feed.h
+++ b/node/table_feed.h
@@ -36,7 +36,9 @@
         std::string table_;
         /// How long the store may hold an answer back. A connection that went
         /// silent is noticed by its keep-alive probes, not by this.
-        std::int64_t wait_ms_ = 20'000;
+        std::int64_t wait_ms_ = 28'000;
+        /// After changes the next ones are asked for this much later.
+        std::int64_t gap_ms_ = 0;
         std::int64_t first_pause_ms_ = 50;    ///< after a failed call
         std::int64_t longest_pause_ms_ = 800; ///< settings are in force in 3 s
         std::uint64_t seed_ = 1;
@@ -69,6 +71,7 @@
 private:
     void list();
     void watch(std::int64_t wait_ms);
+    void watch_after_gap();
     void on_failure(const failure& why);
     void on_connected();
 
--- a/node/traffic_front.cc
+++ b/node/traffic_front.cc
@@ -45,10 +45,10 @@
                {
                    return gateway_of(service);
                },
-               .has_routes_ =
+               .is_ready_ =
                    [this]
                {
-                   return has_routes();
+                   return is_ready();
                },
                .transaction_idle_ms_ =
                    [this]
@@ -65,11 +65,6 @@
     if (auto listens = listen_on(acceptor_, options_.callers_address_);
         !listens)
         return listens;
-    if (!options_.peers_address_.empty())
-    {
-        if (auto listens = peers_.start(options_.peers_address_); !listens)
-            return listens;
-    }
     accept_next();
     schedule_tick();
     return {};
@@ -236,6 +231,22 @@
         gateway->set_homes(std::move(homes));
         gateway->group()->set_endpoints(entries, share, now);
     }
+    serve_peers();
+}
+
+void traffic_front::serve_peers()
+{
+    // Not before there is something to serve: other proxies take a home that
+    // accepts connections for one that can be used.
+    if (options_.peers_address_.empty() || serves_peers_)
+        return;
+    serves_peers_ = true;
+    if (auto listens = peers_.start(options_.peers_address_); !listens)
+        log_line(log_level::error, "peers_not_served",
+                 {{"address", options_.peers_address_},
+                  {"detail", listens.error().detail_}});
+    // Sessions that waited for this are opened now.
+    tick();
 }
 
 void traffic_front::set_promotion(const std::string& service,
--- a/node/traffic_front.h
+++ b/node/traffic_front.h
@@ -56,9 +56,10 @@
     /// `done` once none is left, or after `limit_ms`.
     void drain(std::int64_t limit_ms, std::function<void()> done);
 
-    bool has_routes() const
+    /// Routes, endpoints and homes are known.
+    bool is_ready() const
     {
-        return routes_ != nullptr;
+        return routes_ && endpoints_;
     }
     /// Called when what is known of a service's primary changes in a way that
     /// matters for a takeover.
@@ -69,6 +70,7 @@
     void accept_next();
     void schedule_tick();
     void tick();
+    void serve_peers();
     void tick_drain(instant now);
     void report_health(instant now);
     std::shared_ptr<service_gateway> gateway_of(const std::string& service);
@@ -86,6 +88,7 @@
     home_pool homes_;
     std::map<std::string, std::shared_ptr<service_gateway>> gateways_;
     peer_port peers_;
+    bool serves_peers_ = false;
     std::map<std::string, promotion_record> promotions_;
     std::map<std::string, primary_health> reported_;
     route_table_ptr routes_;
