A home that does not reach the primary sends work on to one that does

With homes a cut of a few of them hits a larger part of a service. Change: a group notes when its connections to the primary fail or have been silent for 400 ms; a home then answers work that only the primary can serve with not here, and its own callers' work goes to other homes. After two that decline, the next has to take it, so a dead primary is not asked for in circles. Also found by the test: the health of a primary that is listed anew (other address or incarnation) was read from its old entry. Ruled out: sending on inside the home (a second hop whose loss would have to be judged twice). Tests: a primary cut from one home is reached through another, by its own callers and others; cut from all, each home is asked four times at most; 62 node tests passed. The first failed on the way to the change, for a missing link and for the old entry.

--- a/node/caller_run.h
+++ b/node/caller_run.h
@@ -69,6 +69,12 @@
     {
         return begin_ || transaction_;
     }
+    /// It can be served by the primary alone.
+    bool needs_primary() const
+    {
+        return writes_ || begin_ == statement_kind::begin ||
+               (route_.rule_ == read_rule::primary && !begin_);
+    }
     instant deadline() const
     {
         return arrived_ + route_.timeout_ms_;
--- a/node/endpoint_group.cc
+++ b/node/endpoint_group.cc
@@ -426,7 +426,11 @@
     for (const auto& at : endpoints_)
     {
         std::int64_t version = claim_version(*at);
-        if (version > best_version)
+        // An id may be listed anew, at another address or as another
+        // incarnation, while connections of the old one remain.
+        bool renewed = best != nullptr && version == best_version &&
+                       at->listed_ && !best->listed_;
+        if (version > best_version || renewed)
         {
             best = at.get();
             best_version = version;
--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -96,6 +96,9 @@
         std::int64_t marks_wanted_ms_ = 3000;
         /// A connection that is not open by then is given up.
         std::int64_t open_ms_ = 1500;
+        /// A primary without any answer for this long may be cut from this
+        /// proxy alone: longer than any statement with an empty queue.
+        std::int64_t cut_after_ms_ = 400;
         /// A connection that does not roll back by then is closed.
         std::int64_t roll_back_ms_ = 1000;
     };
@@ -159,6 +162,12 @@
     primary_health health() const;
     /// The endpoint that is taken to lead now; empty where none is known.
     std::string primary_id(instant now) const;
+    /// This proxy's connections to the primary fail or have been silent for
+    /// a while; other proxies may reach it.
+    bool is_primary_cut() const
+    {
+        return primary_cut_;
+    }
     std::size_t waiting() const
     {
         return waiting_.size();
@@ -221,6 +230,7 @@
         return is_home_ ? (share_ + 1) / 2 : 0;
     }
     void close_surplus(endpoint_state& at, instant now);
+    void judge_primary(instant now);
     void end_late_links(instant now);
     void renew_mark(instant now);
     void ask_for_mark(const link_ptr& link);
@@ -240,6 +250,7 @@
     instant read_served_ = never;
     instant marks_wanted_ = never;
     bool renewing_mark_ = false;
+    bool primary_cut_ = false;
     promotion_record promoted_;
     ticket next_ticket_ = 1;
     bool dispatch_scheduled_ = false;
--- a/node/endpoint_group_upkeep.cc
+++ b/node/endpoint_group_upkeep.cc
@@ -128,11 +128,27 @@
             open_link(*at);
     }
     end_late_links(now);
+    judge_primary(now);
     renew_mark(now);
     if (!waiting_.empty())
         schedule_dispatch();
 }
 
+void endpoint_group::judge_primary(instant now)
+{
+    primary_health seen = health();
+    bool silent = seen.unanswered_since_ != never &&
+                  now - seen.unanswered_since_ >= options_.cut_after_ms_;
+    bool cut = !seen.endpoint_id_.empty() && (seen.unreachable_ || silent);
+    if (cut == std::exchange(primary_cut_, cut))
+        return;
+    log_line(log_level::info, cut ? "primary_not_reached" : "primary_reached",
+             {{"endpoint", seen.endpoint_id_},
+              {"refused", seen.unreachable_},
+              {"answered_ms_ago",
+               seen.last_answer_ == never ? -1 : now - seen.last_answer_}});
+}
+
 void endpoint_group::renew_mark(instant now)
 {
     auto newest = marks_.newest();
--- a/node/home_flow_test.cc
+++ b/node/home_flow_test.cc
@@ -15,6 +15,7 @@
 {
     fleet_host second_{"second", "b", free_address(loop_)};
     std::unique_ptr<traffic_front> second_front_;
+    std::string home_callers_ = address_; ///< the first home's own callers
 
     homes_fixture()
     {
@@ -63,6 +64,8 @@
     CPPUNIT_TEST(a_silent_home_is_passed_over);
     CPPUNIT_TEST(without_a_home_the_proxy_serves_itself);
     CPPUNIT_TEST(a_home_without_the_service_ran_nothing);
+    CPPUNIT_TEST(a_primary_cut_from_one_home_is_reached_through_another);
+    CPPUNIT_TEST(a_primary_cut_from_all_homes_is_not_asked_in_circles);
     CPPUNIT_TEST(what_a_lost_proxy_left_open_is_rolled_back);
     CPPUNIT_TEST(an_abandoned_statement_ends_its_transaction);
     CPPUNIT_TEST(bad_frames_end_the_link_and_nothing_else);
@@ -209,6 +212,56 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.writes());
     }
 
+    /// What `front` is told of the group: a primary that it can't reach.
+    static void cut_from_primary(fixture& f, traffic_front& front,
+                                 service_homes homes)
+    {
+        auto entries = f.entries_;
+        f.entries_[0].address_ = fixture::free_address(f.loop_);
+        f.publish_to(front, std::move(homes));
+        f.entries_ = entries;
+    }
+
+    void a_primary_cut_from_one_home_is_reached_through_another()
+    {
+        homes_fixture f;
+        service_homes plan{
+            .route_ = {f.home_, f.second_}, .own_ = true, .share_ = 9};
+        cut_from_primary(f, *f.front_, plan);
+        f.run_for(200);
+        auto through_edge = f.open("own");
+        f.address_ = f.home_callers_;
+        auto at_home = f.open("own");
+        for (caller* user : {through_edge.get(), at_home.get()})
+        {
+            CPPUNIT_ASSERT(!f.ask(*user, "WRITE a 1").error_);
+            f.ask(*user, "BEGIN");
+            CPPUNIT_ASSERT(!f.ask(*user, "WRITE b 1").error_);
+            CPPUNIT_ASSERT(!f.ask(*user, "COMMIT").error_);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, f.writes());
+    }
+
+    void a_primary_cut_from_all_homes_is_not_asked_in_circles()
+    {
+        homes_fixture f;
+        f.primary().stop();
+        f.run_for(200);
+        auto user = f.open("own");
+        instant asked = monotonic_now();
+        reply got = f.ask(*user, "WRITE a 1");
+        CPPUNIT_ASSERT(got.error_ == reply_error::busy);
+        CPPUNIT_ASSERT(monotonic_now() - asked < 600);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.writes());
+        // It waited at one home: each home was asked a few times at most.
+        for (const auto& front : {f.front_.get(), f.second_front_.get()})
+        {
+            std::string text = front->metrics();
+            auto at = text.find("tanager_peer_runs_total ");
+            CPPUNIT_ASSERT(std::stoi(text.substr(at + 24)) <= 4);
+        }
+    }
+
     void what_a_lost_proxy_left_open_is_rolled_back()
     {
         homes_fixture f;
--- a/node/remote_run.cc
+++ b/node/remote_run.cc
@@ -33,6 +33,9 @@
     phase_ = phase::waiting;
     if (waiting_since_ == never)
         waiting_since_ = now;
+    // A home comes here because it does not reach the primary; nor do these.
+    if (gateway_->is_home() && declined_ >= most_declined)
+        return run_here();
     if (auto link = gateway_->pick_home(excluded_, now))
         return send(std::move(link));
     // All were tried or can't be reached: what changed meanwhile may serve.
@@ -69,6 +72,7 @@
                           .own_commit_ = options_.session_->own_commit_};
     if (options_.transaction_)
         what.transaction_ = options_.transaction_->number_;
+    what.last_resort_ = declined_ >= most_declined;
     std::weak_ptr<remote_run> weak = weak_from_this();
     run_ = home_->run(what,
                       [weak, home = home_](const result<remote_outcome>& got)
@@ -85,10 +89,13 @@
         return;
     if (!got)
         return settle(attempt_failure::lost, got.error().detail_);
+    if (got->not_here_ && options_.transaction_)
+        return settle(attempt_failure::refused, "not kept");
     if (got->not_here_)
-        return options_.transaction_
-                   ? settle(attempt_failure::refused, "not kept")
-                   : move_on("does not serve it");
+    {
+        ++declined_;
+        return move_on("does not serve it");
+    }
     run_outcome outcome{.answer_ = got->answer_,
                         .rolled_back_ = got->rolled_back_};
     if (got->transaction_open_)
--- a/node/remote_run.h
+++ b/node/remote_run.h
@@ -52,6 +52,9 @@
     static constexpr std::int64_t home_wait_ms = 400;
     /// And at most this part of its timeout.
     static constexpr std::int64_t wait_part = 3;
+    /// Homes that may send a statement on before one has to take it: a cut
+    /// that three of them share is no matter of single hosts.
+    static constexpr std::size_t most_declined = 2;
 
     void next_home();
     void run_here();
@@ -73,6 +76,7 @@
     std::uint64_t run_ = 0;
     std::vector<std::string> excluded_; ///< homes that were tried
     instant waiting_since_ = never;
+    std::size_t declined_ = 0; ///< homes that sent it on
     std::shared_ptr<caller_run> local_;
 };
 
--- a/node/service_gateway.cc
+++ b/node/service_gateway.cc
@@ -9,9 +9,10 @@
 namespace tanagerspan
 {
 
-service_gateway::service_gateway(std::shared_ptr<endpoint_group> group,
+service_gateway::service_gateway(std::string own_name,
+                                 std::shared_ptr<endpoint_group> group,
                                  home_pool& homes)
-    : group_(std::move(group)), pool_(homes)
+    : own_name_(std::move(own_name)), group_(std::move(group)), pool_(homes)
 {
 }
 
@@ -23,8 +24,11 @@
 std::shared_ptr<caller_run>
 service_gateway::make_run(run_options run, caller_run::done_handler done)
 {
-    bool here =
-        run.transaction_ ? run.transaction_->link_ != nullptr : homes_.own_;
+    bool primary_elsewhere = homes_.route_.size() > 1 && run.needs_primary() &&
+                             group_->is_primary_cut();
+    bool here = homes_.own_ && !primary_elsewhere;
+    if (run.transaction_)
+        here = run.transaction_->link_ != nullptr;
     if (here)
         return std::make_shared<statement_run>(group_, std::move(run),
                                                std::move(done));
@@ -47,7 +51,7 @@
     {
         bool tried = std::find(excluded.begin(), excluded.end(), home.name_) !=
                      excluded.end();
-        if (tried)
+        if (tried || home.name_ == own_name_)
             continue;
         auto link = pool_.link_to(home, now);
         if (link && link->is_usable())
@@ -59,11 +63,14 @@
 void service_gateway::tick(instant now)
 {
     group_->tick(now);
-    if (homes_.own_)
+    bool served_here = homes_.own_ && !group_->is_primary_cut();
+    if (served_here)
         return;
     std::size_t usable = 0;
     for (const auto& home : homes_.route_)
     {
+        if (home.name_ == own_name_)
+            continue;
         auto link = pool_.link_to(home, now);
         usable += link && (link->is_usable() || link->is_opening()) ? 1 : 0;
         if (usable >= warm_homes)
--- a/node/service_gateway.h
+++ b/node/service_gateway.h
@@ -25,7 +25,8 @@
 class service_gateway : public std::enable_shared_from_this<service_gateway>
 {
 public:
-    service_gateway(std::shared_ptr<endpoint_group> group, home_pool& homes);
+    service_gateway(std::string own_name, std::shared_ptr<endpoint_group> group,
+                    home_pool& homes);
 
     void set_homes(service_homes homes);
 
@@ -42,6 +43,11 @@
     std::shared_ptr<home_link> pick_home(std::span<const std::string> excluded,
                                          instant now);
 
+    /// This proxy's own connections are the last choice.
+    bool is_home() const
+    {
+        return homes_.own_;
+    }
     const std::shared_ptr<endpoint_group>& group() const
     {
         return group_;
@@ -51,6 +57,7 @@
     /// Kept open: the one in use and the one that would be next.
     static constexpr std::size_t warm_homes = 2;
 
+    std::string own_name_;
     std::shared_ptr<endpoint_group> group_;
     home_pool& pool_;
     service_homes homes_{.own_ = true};
--- a/node/traffic_front.cc
+++ b/node/traffic_front.cc
@@ -222,7 +222,8 @@
                                         .data_centre_ = options_.data_centre_});
             if (promotions_.contains(name))
                 group->set_promotion(promotions_[name]);
-            gateway = std::make_shared<service_gateway>(group, homes_);
+            gateway = std::make_shared<service_gateway>(options_.host_name_,
+                                                        group, homes_);
         }
         service_homes homes{.own_ = true};
         if (auto planned = plan_->find(name); planned != plan_->end())
--- a/protocol/run_messages.h
+++ b/protocol/run_messages.h
@@ -44,6 +44,9 @@
     instant arrived_{};
     std::map<std::string, std::string> values_{};
     std::optional<position_need> own_commit_{};
+    /// The home runs it whatever it knows; else it may say that another home
+    /// would serve it better.
+    bool last_resort_ = false;
 };
 
 struct run_request
@@ -72,6 +75,7 @@
     std::uint64_t commit_term_ = 0;
     std::uint64_t commit_index_ = 0;
     std::int64_t commit_age_ms_ = 0;
+    bool last_resort_ = false;
 };
 
 constexpr auto fields_of(const run_request*)
@@ -104,7 +108,8 @@
                       field{"hc", &r::has_commit_},
                       field{"ct", &r::commit_term_},
                       field{"ci", &r::commit_index_},
-                      field{"ca", &r::commit_age_ms_, {.min_ = 0}}};
+                      field{"ca", &r::commit_age_ms_, {.min_ = 0}},
+                      field{"lr", &r::last_resort_}};
 }
 
 run_request to_request(const remote_statement& from, instant now);
@@ -113,7 +118,8 @@
 /// How a run at a home ended.
 struct remote_outcome
 {
-    /// The home does not serve the service: nothing ran.
+    /// The home does not serve the service, or does not reach the endpoint
+    /// that is needed: nothing ran.
     bool not_here_ = false;
     reply answer_{};
     bool transaction_open_ = false; ///< the home keeps the transaction
