--- a/coordination/takeover.h
+++ b/coordination/takeover.h
@@ -106,8 +106,7 @@
     on_status(const std::string& id, std::optional<endpoint_status> status,
               instant now);
     /// The endpoint lives, but takes no connection or question now.
-    std::vector<takeover_action>
-    on_refused(const std::string& id, instant now);
+    std::vector<takeover_action> on_refused(const std::string& id, instant now);
     /// An endpoint joined the group: it may hold what no other has.
     std::vector<takeover_action> on_joined();
     std::vector<takeover_action> on_recorded(bool recorded, instant now);
--- a/node/home_link.cc
+++ b/node/home_link.cc
@@ -1,5 +1,6 @@
 #include "node/home_link.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "transport/json_log.h"
@@ -168,8 +169,11 @@
     entry& at = links_[home.peers_address_];
     if (at.link_ && at.link_->is_closed())
     {
+        if (at.link_->was_open())
+            at.pause_ms_ = first_retry_ms;
         at.link_.reset();
-        at.retry_at_ = now + retry_ms;
+        at.retry_at_ = now + at.pause_ms_;
+        at.pause_ms_ = std::min(at.pause_ms_ * 2, longest_retry_ms);
     }
     if (!at.link_ && now >= at.retry_at_)
     {
--- a/node/home_link.h
+++ b/node/home_link.h
@@ -57,6 +57,11 @@
     {
         return !opened_ && !closed_;
     }
+    /// It was open at some time.
+    bool was_open() const
+    {
+        return opened_;
+    }
     bool is_closed() const
     {
         return closed_;
@@ -118,14 +123,16 @@
     std::size_t open_links() const;
 
 private:
-    /// Between attempts: an ended process is back within a second or two, and
-    /// an attempt costs a packet.
-    static constexpr std::int64_t retry_ms = 100;
+    /// Between attempts, doubled up to the second figure while they fail: an
+    /// ended process is back within a second or two, a lost host is not.
+    static constexpr std::int64_t first_retry_ms = 100;
+    static constexpr std::int64_t longest_retry_ms = 1600;
 
     struct entry
     {
         std::shared_ptr<home_link> link_;
         instant retry_at_ = never;
+        std::int64_t pause_ms_ = first_retry_ms;
     };
 
     boost::asio::io_context& loop_;
