--- a/node/home_flow_test.cc
+++ b/node/home_flow_test.cc
@@ -298,6 +298,18 @@
             if (ran.what_.arguments_ == "later v")
                 CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, ran.transaction_);
         }
+        // The home keeps nothing of it: a drain need not wait for its limit.
+        other.reset();
+        bool drained = false;
+        f.front_->drain(20'000,
+                        [&drained]
+                        {
+                            drained = true;
+                        });
+        instant end = monotonic_now() + 5000;
+        while (!drained && monotonic_now() < end)
+            f.run_for(20);
+        CPPUNIT_ASSERT(drained);
     }
 
     void bad_frames_end_the_link_and_nothing_else()
