--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -27,7 +27,7 @@
 
 fleet_control::fleet_control(boost::asio::io_context& loop, table_store& store,
                              promotion_gate& gate, options opts, outputs to)
-    : store_(store), options_(std::move(opts)), outputs_(std::move(to)),
+    : options_(std::move(opts)), outputs_(std::move(to)),
       settings_(loop, store,
                 feed_of(options_.format_.settings_table_, options_.seed_,
                         settings_gap_ms),
--- a/node/fleet_control.h
+++ b/node/fleet_control.h
@@ -80,7 +80,6 @@
     void publish_endpoints();
     void schedule_expiry();
 
-    table_store& store_;
     options options_;
     outputs outputs_;
     table_feed settings_;
--- a/node/peer_port.cc
+++ b/node/peer_port.cc
@@ -239,7 +239,7 @@
 };
 
 peer_port::peer_port(boost::asio::io_context& loop, group_source groups)
-    : loop_(loop), groups_(std::move(groups)), acceptor_(loop)
+    : groups_(std::move(groups)), acceptor_(loop)
 {
 }
 
--- a/node/peer_port.h
+++ b/node/peer_port.h
@@ -55,7 +55,6 @@
 
     void accept_next();
 
-    boost::asio::io_context& loop_;
     group_source groups_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::list<std::shared_ptr<peer>> peers_;
