The plan of homes and the endpoints' entries are worked out once a change

Every change of any endpoint's entry made every host rank all hosts for all services, with a search by name inside, copy the plan, and parse all entries again. Ruled out, by reading only: peer links (connections of a proxy grow with power 0.23) and wake-ups (they fall). Change: home_planner keeps the plan and makes anew what changed; it is shared, not copied; an entry is parsed once a row version.

--- a/coordination/home_plan.cc
+++ b/coordination/home_plan.cc
@@ -28,24 +28,25 @@
                                   1);
 }
 
-std::vector<std::string> names_of(std::span<const fleet_host> hosts)
+/// Hosts by falling rank for `seed`.
+std::vector<const fleet_host*> ranked_for(std::string_view seed,
+                                          std::span<const fleet_host> hosts)
 {
-    std::vector<std::string> out;
+    std::vector<std::string> names;
+    std::map<std::string_view, const fleet_host*> by_name;
+    names.reserve(hosts.size());
     for (const auto& host : hosts)
-        out.push_back(host.name_);
+    {
+        names.push_back(host.name_);
+        by_name.emplace(host.name_, &host);
+    }
+    std::vector<const fleet_host*> out;
+    out.reserve(hosts.size());
+    for (const auto& name : rank_homes(seed, names, names.size()))
+        out.push_back(by_name.at(name));
     return out;
 }
 
-const fleet_host& host_named(std::span<const fleet_host> hosts,
-                             const std::string& name)
-{
-    return *std::find_if(hosts.begin(), hosts.end(),
-                         [&](const fleet_host& one)
-                         {
-                             return one.name_ == name;
-                         });
-}
-
 } // namespace
 
 std::size_t home_count(const service_capacity& capacity, std::size_t hosts)
@@ -70,14 +71,13 @@
                                      std::span<const fleet_host> hosts,
                                      std::size_t count)
 {
-    std::map<std::string, std::vector<fleet_host>> ranked;
-    std::vector<std::string> data_centres;
-    for (const auto& name : rank_homes(service, names_of(hosts), hosts.size()))
+    std::map<std::string_view, std::vector<const fleet_host*>> ranked;
+    std::vector<std::string_view> data_centres;
+    for (const fleet_host* host : ranked_for(service, hosts))
     {
-        const fleet_host& host = host_named(hosts, name);
-        auto& in_one = ranked[host.data_centre_];
+        auto& in_one = ranked[host->data_centre_];
         if (in_one.empty())
-            data_centres.push_back(host.data_centre_);
+            data_centres.push_back(host->data_centre_);
         in_one.push_back(host);
     }
     // One of each data centre in turn.
@@ -89,7 +89,7 @@
         {
             const auto& in_one = ranked[data_centre];
             if (place < in_one.size() && out.size() < count)
-                out.push_back(in_one[place]);
+                out.push_back(*in_one[place]);
         }
     }
     return out;
@@ -101,8 +101,8 @@
 {
     std::string seed = std::string(service) + "/" + own.name_;
     std::vector<fleet_host> out;
-    for (const auto& name : rank_homes(seed, names_of(homes), homes.size()))
-        out.push_back(host_named(homes, name));
+    for (const fleet_host* home : ranked_for(seed, homes))
+        out.push_back(*home);
     std::stable_partition(out.begin(), out.end(),
                           [&](const fleet_host& one)
                           {
@@ -111,30 +111,50 @@
     return out;
 }
 
-home_plan plan_homes(const fleet_host& own, std::span<const fleet_host> hosts,
+home_plan_ptr
+home_planner::update(std::span<const fleet_host> hosts,
                      const std::map<std::string, service_capacity>& services)
 {
     std::vector<fleet_host> live(hosts.begin(), hosts.end());
-    auto is_own = [&own](const fleet_host& one)
-    {
-        return one.name_ == own.name_;
-    };
-    if (std::none_of(live.begin(), live.end(), is_own))
-        live.push_back(own);
-    home_plan out;
+    if (std::find(live.begin(), live.end(), own_) == live.end())
+        live.push_back(own_);
+    bool same_hosts = plan_ && live == live_;
+    if (same_hosts && services == services_)
+        return plan_;
+    live_ = std::move(live);
+    auto next = std::make_shared<home_plan>();
     for (const auto& [name, capacity] : services)
     {
-        service_homes& to = out[name];
-        to.claims_ =
-            choose_homes(name, live, home_count(capacity, live.size()));
-        to.own_ = std::any_of(to.claims_.begin(), to.claims_.end(), is_own);
-        to.route_ = homes_for(own, name, to.claims_);
-        if (capacity.connections_ <= 0)
+        auto before = services_.find(name);
+        bool same = same_hosts && before != services_.end() &&
+                    before->second == capacity;
+        if (same)
+        {
+            next->emplace(name, plan_->at(name));
             continue;
-        auto homes = static_cast<std::int64_t>(to.claims_.size());
-        to.share_ = static_cast<std::size_t>(
-            std::max<std::int64_t>(shared_connections(capacity) / homes, 1));
+        }
+        next->emplace(name, plan(name, capacity));
+        ++planned_;
     }
+    services_ = services;
+    plan_ = std::move(next);
+    return plan_;
+}
+
+service_homes home_planner::plan(const std::string& service,
+                                 const service_capacity& capacity) const
+{
+    service_homes out;
+    out.claims_ =
+        choose_homes(service, live_, home_count(capacity, live_.size()));
+    out.own_ = std::find(out.claims_.begin(), out.claims_.end(), own_) !=
+               out.claims_.end();
+    out.route_ = homes_for(own_, service, out.claims_);
+    if (capacity.connections_ <= 0)
+        return out;
+    auto homes = static_cast<std::int64_t>(out.claims_.size());
+    out.share_ = static_cast<std::size_t>(
+        std::max<std::int64_t>(shared_connections(capacity) / homes, 1));
     return out;
 }
 
--- a/coordination/home_plan.h
+++ b/coordination/home_plan.h
@@ -25,6 +25,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "state/fleet_host.h"
@@ -37,6 +38,8 @@
 {
     std::int64_t connections_ = 0; ///< of each endpoint, for all hosts; 0: any
     std::int64_t slots_ = 0;       ///< of all endpoints together
+
+    bool operator==(const service_capacity&) const = default;
 };
 
 /// How many of `hosts` are homes; all of them where that is no more than the
@@ -67,9 +70,38 @@
 using home_plan = std::map<std::string, service_homes>;
 using home_plan_ptr = std::shared_ptr<const home_plan>;
 
-/// The plan for `own`, which counts as live whether it is listed or not.
-home_plan plan_homes(const fleet_host& own, std::span<const fleet_host> hosts,
-                     const std::map<std::string, service_capacity>& services);
+/// Keeps the plan for one host. A plan costs a hash a host and service, so
+/// it is made anew only for what changed: all services when hosts come or go,
+/// else those whose endpoints allow something else than before.
+class home_planner
+{
+public:
+    explicit home_planner(fleet_host own) : own_(std::move(own))
+    {
+    }
+
+    /// The plan for these hosts and services; the own host counts as live
+    /// whether it is listed or not. The same object while nothing changed.
+    home_plan_ptr
+    update(std::span<const fleet_host> hosts,
+           const std::map<std::string, service_capacity>& services);
+
+    /// Services planned anew so far.
+    std::size_t planned() const
+    {
+        return planned_;
+    }
+
+private:
+    service_homes plan(const std::string& service,
+                       const service_capacity& capacity) const;
+
+    fleet_host own_;
+    std::vector<fleet_host> live_;
+    std::map<std::string, service_capacity> services_;
+    home_plan_ptr plan_;
+    std::size_t planned_ = 0;
+};
 
 } // namespace tanagerspan
 
--- a/coordination/home_plan_test.cc
+++ b/coordination/home_plan_test.cc
@@ -32,6 +32,13 @@
     return out;
 }
 
+home_plan plan_homes(const fleet_host& own,
+                     const std::vector<fleet_host>& hosts,
+                     const std::map<std::string, service_capacity>& all)
+{
+    return *home_planner(own).update(hosts, all);
+}
+
 class home_plan_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(home_plan_test);
@@ -41,6 +48,7 @@
     CPPUNIT_TEST(homes_are_spread_over_data_centres);
     CPPUNIT_TEST(all_hosts_agree_on_the_homes);
     CPPUNIT_TEST(the_load_of_homes_is_even);
+    CPPUNIT_TEST(only_what_changed_is_planned_anew);
     CPPUNIT_TEST(a_lost_host_moves_only_its_own_part);
     CPPUNIT_TEST_SUITE_END();
 
@@ -141,6 +149,32 @@
             CPPUNIT_ASSERT(count >= 12 && count <= 50);
     }
 
+    // The load: hundreds of hosts and services, whose endpoints' entries
+    // change all the time without another plan.
+    void only_what_changed_is_planned_anew()
+    {
+        auto hosts = fleet(300, 3);
+        auto all = services(40, {48, 18});
+        home_planner planner(hosts[7]);
+        auto first = planner.update(hosts, all);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{40}, planner.planned());
+        CPPUNIT_ASSERT(first == planner.update(hosts, all));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{40}, planner.planned());
+        all["s3"].slots_ = 12;
+        planner.update(hosts, all);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{41}, planner.planned());
+        all.erase("s4");
+        auto fewer = planner.update(hosts, all);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{41}, planner.planned());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{39}, fewer->size());
+        hosts.pop_back();
+        auto last = planner.update(hosts, all);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{80}, planner.planned());
+        auto anew = plan_homes(hosts[7], hosts, all);
+        for (const auto& [name, at] : anew)
+            CPPUNIT_ASSERT(at.claims_ == last->at(name).claims_);
+    }
+
     void a_lost_host_moves_only_its_own_part()
     {
         auto hosts = fleet(61, 3);
--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -61,7 +61,7 @@
                  {
                      outputs_.promoted_(service, leader, version);
                  }),
-      expiry_timer_(loop)
+      expiry_timer_(loop), planner_(options_.own_)
 {
 }
 
@@ -113,16 +113,15 @@
     instant now = monotonic_now();
     for (const auto& [id, row] : current)
     {
-        auto entry = options_.format_.endpoint_(id, row.value_, row.version_);
-        if (!entry)
-        {
-            log_line(log_level::info, "endpoint_entry_unusable",
-                     {{"endpoint", id}, {"detail", entry.error().detail_}});
+        if (!take_entry(id, row))
             continue;
-        }
-        known_[id] = std::move(*entry);
         missing_since_.erase(id);
     }
+    std::erase_if(unusable_,
+                  [&current](const auto& one)
+                  {
+                      return !current.contains(one.first);
+                  });
     for (const auto& [id, entry] : known_)
     {
         if (!current.contains(id))
@@ -131,6 +130,28 @@
     publish_endpoints();
 }
 
+bool fleet_control::take_entry(const std::string& id, const table_row& row)
+{
+    // Rows are many and few of them change at a time.
+    auto known = known_.find(id);
+    if (known != known_.end() && known->second.row_version_ == row.version_)
+        return true;
+    auto unusable = unusable_.find(id);
+    if (unusable != unusable_.end() && unusable->second == row.version_)
+        return false;
+    auto entry = options_.format_.endpoint_(id, row.value_, row.version_);
+    if (!entry)
+    {
+        unusable_[id] = row.version_;
+        log_line(log_level::info, "endpoint_entry_unusable",
+                 {{"endpoint", id}, {"detail", entry.error().detail_}});
+        return false;
+    }
+    unusable_.erase(id);
+    known_[id] = std::move(*entry);
+    return true;
+}
+
 void fleet_control::publish_endpoints()
 {
     // Before all is known this host would take itself for the only home of
@@ -153,9 +174,9 @@
                   });
     for (const auto& [id, entry] : known_)
         list->push_back(entry);
-    auto plan = std::make_shared<const home_plan>(make_plan());
+    auto plan = make_plan();
     takeovers_.set_endpoints(*list);
-    takeovers_.set_claims(*plan, live_);
+    takeovers_.set_claims(plan, live_);
     outputs_.endpoints_(std::move(list), std::move(plan));
     if (!missing_since_.empty())
         schedule_expiry();
@@ -173,7 +194,7 @@
         });
 }
 
-home_plan fleet_control::make_plan() const
+home_plan_ptr fleet_control::make_plan()
 {
     std::map<std::string, service_capacity> services;
     if (routes_)
@@ -183,7 +204,7 @@
     }
     for (const auto& [id, entry] : known_)
         services[entry.service_].slots_ += entry.slots_;
-    return plan_homes(options_.own_, live_, services);
+    return planner_.update(live_, services);
 }
 
 void fleet_control::on_hosts(const std::vector<fleet_host>& live)
--- a/node/fleet_control.h
+++ b/node/fleet_control.h
@@ -75,8 +75,10 @@
     void on_settings(const rows& current);
     void on_endpoints(const rows& current);
     void on_hosts(const std::vector<fleet_host>& live);
-    home_plan make_plan() const;
+    home_plan_ptr make_plan();
     void on_promotions(const rows& current);
+    /// False where the row names no endpoint to use.
+    bool take_entry(const std::string& id, const table_row& row);
     void publish_endpoints();
     void schedule_expiry();
 
@@ -90,7 +92,9 @@
     boost::asio::steady_timer expiry_timer_;
     std::map<std::string, endpoint_entry> known_;
     std::map<std::string, instant> missing_since_;
+    std::map<std::string, std::int64_t> unusable_; ///< row versions, by id
     std::vector<fleet_host> live_;
+    home_planner planner_;
     bool endpoints_listed_ = false;
     route_table_ptr routes_;
 };
--- a/node/takeover_driver.cc
+++ b/node/takeover_driver.cc
@@ -80,10 +80,10 @@
     }
 }
 
-void takeover_driver::set_claims(const home_plan& plan,
+void takeover_driver::set_claims(home_plan_ptr plan,
                                  const std::vector<fleet_host>& hosts)
 {
-    plan_ = plan;
+    plan_ = std::move(plan);
     hosts_.clear();
     for (const auto& host : hosts)
         hosts_.push_back(host.name_);
@@ -92,9 +92,9 @@
 std::int64_t takeover_driver::rank_of(const std::string& service) const
 {
     std::int64_t rank = 0;
-    if (auto at = plan_.find(service); at != plan_.end())
+    if (plan_ && plan_->contains(service))
     {
-        for (const auto& home : at->second.claims_)
+        for (const auto& home : plan_->at(service).claims_)
         {
             if (home.name_ == options_.host_name_)
                 return rank;
--- a/node/takeover_driver.h
+++ b/node/takeover_driver.h
@@ -54,8 +54,7 @@
     void set_endpoints(const endpoint_list& endpoints);
     /// Who claims first: the service's homes, which see most of it, then the
     /// other hosts.
-    void set_claims(const home_plan& plan,
-                    const std::vector<fleet_host>& hosts);
+    void set_claims(home_plan_ptr plan, const std::vector<fleet_host>& hosts);
     void on_health(const std::string& service, const primary_health& health);
     void on_row(const std::string& service, const table_row& row);
 
@@ -105,7 +104,7 @@
     boost::asio::steady_timer timer_;
     bool armed_ = false;
     std::vector<std::string> hosts_;
-    home_plan plan_;
+    home_plan_ptr plan_;
     std::map<std::string, service_state> services_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
