Comments on gateways, links and messages say why

Read as a newcomer: the header of service_gateway did not say what a home does that is cut from the primary, and two time limits shared one reason. No code changed.

--- a/node/home_link.h
+++ b/node/home_link.h
@@ -81,8 +81,9 @@
     }
 
 private:
-    /// A few round trips between data centres and a turn of a busy process.
+    /// Most statements are answered within it, and need no probe.
     static constexpr std::int64_t probe_after_ms = 120;
+    /// Many round trips between data centres and a few turns of a busy process.
     static constexpr std::int64_t silent_after_ms = 250;
     /// A link that is not open by then is given up.
     static constexpr std::int64_t open_ms = 500;
--- a/node/service_gateway.h
+++ b/node/service_gateway.h
@@ -8,6 +8,10 @@
 // home is left, the statement runs over a connection of this proxy all the
 // same: late and dear, but not refused.
 //
+// Where this proxy is a home but does not reach the primary, work that needs
+// the primary is offered to other homes first: the primary may be cut from
+// some proxies only, and is then not always replaced.
+//
 // Traffic thread only.
 
 #include <memory>
--- a/protocol/run_messages.h
+++ b/protocol/run_messages.h
@@ -10,6 +10,7 @@
 // gives the statement a little more time; a session's own commit then counts
 // as later than it was, which asks for more, never for less.
 //
+// Field names on the wire are short, since they travel with each statement.
 // The conversion functions are inverse to each other up to that age. Decoded
 // messages are checked: a value out of range is a typed failure.
 
