A peer listener answers requests only

Cause: new frame types made byte 9 a known type, and the listener of tanager_proxy answered every frame that is no gossip as if it were forwarded work; gossip answers were taken so before, too. Ruled out: load; the test sends fixed bytes. Change: only forward and gossip are answered, others end the connection with bad_peer_frame.

--- a/transport/peer_link.cc
+++ b/transport/peer_link.cc
@@ -61,6 +61,12 @@
     return decode_payload(payload);
 }
 
+// What this listener answers; other frames belong to other links.
+bool is_request(frame_type type)
+{
+    return type == frame_type::forward || type == frame_type::gossip;
+}
+
 class peer_connection : public Poco::Net::TCPServerConnection
 {
 public:
@@ -87,6 +93,13 @@
                                   {"detail", frame.error().detail_}});
                     return;
                 }
+                if (!is_request(frame->type_))
+                    return log_line(
+                        log_level::warning, "bad_peer_frame",
+                        {{"error", name_of(error_code::malformed)},
+                         {"detail",
+                          "not a request: type " +
+                              std::to_string(static_cast<int>(frame->type_))}});
                 auto back = handler_(*frame);
                 back.correlation_ = frame->correlation_;
                 send_all(socket(), encode_frame(back));
--- a/transport/transport_test.cc
+++ b/transport/transport_test.cc
@@ -149,6 +149,10 @@
         CPPUNIT_ASSERT(late.error().code_ == error_code::lost);
         CPPUNIT_ASSERT(*links.exchange(to, frame_type::forward, "b", 1000) ==
                        "b");
+        // Regression: any frame that was no gossip was answered as a request.
+        for (auto other : {frame_type::forwarded, frame_type::run,
+                           frame_type::leaving, frame_type::probe})
+            CPPUNIT_ASSERT(!links.exchange(to, other, "a", 1000).has_value());
         CPPUNIT_ASSERT(
             links.exchange("127.0.0.1:1", frame_type::forward, "c", short_ms)
                 .error()
