Tables that change in series are asked for less often; hosts listed every 15 s

In a series of changes a feed asks twice as late each time, up to 2 s for entries (they serve on for seven seconds at least) and 0.8 s for settings (in force within three). Hosts are listed every 15 s and renew every 20 s. What it costs: a host that was added has its share up to 15 s later, one that died unheard counts for 60 s instead of 30.

Test: a_series_of_changes_is_asked_for_less_often.

--- a/coordination/takeover_test.cc
+++ b/coordination/takeover_test.cc
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(a_paused_holder_orders_nothing);
     CPPUNIT_TEST(no_acknowledged_change_is_lost);
     CPPUNIT_TEST(a_replica_of_an_older_term_is_not_promoted);
+    CPPUNIT_TEST(a_hold_ends_with_the_promotion);
+    CPPUNIT_TEST(a_primary_that_comes_back_steps_down);
     CPPUNIT_TEST(suspicion_needs_time_and_rank);
     CPPUNIT_TEST_SUITE_END();
 
@@ -457,6 +459,63 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, behind.paused_by_term_);
     }
 
+    // Regression: beside a hold of an earlier attempt a later term was named;
+    // the promotion did not end that hold, and the replica stayed held.
+    void a_hold_ends_with_the_promotion()
+    {
+        takeover attempt({}, {.reason_ = takeover_reason::silent,
+                              .primary_id_ = "p",
+                              .members_ = {{"p"}, {"a"}, {"b"}},
+                              .claimed_ = instant{0}});
+        attempt.start(instant{0});
+        endpoint_status free{.term_ = 1, .received_ = {1, 5}};
+        endpoint_status held{
+            .term_ = 1, .received_ = {1, 5}, .paused_by_term_ = 2};
+        attempt.on_status("p", std::nullopt, instant{1});
+        attempt.on_status("a", held, instant{1});
+        auto holds = attempt.on_status("b", free, instant{1});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, holds.size());
+        for (const auto& action : holds)
+        {
+            CPPUNIT_ASSERT(action.kind_ == kind::hold);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, action.term_);
+        }
+    }
+
+    // Regression: the crashed primary was back under another id while the
+    // order travelled, and a replica that joined vouched for its changes.
+    void a_primary_that_comes_back_steps_down()
+    {
+        takeover attempt({}, {.reason_ = takeover_reason::silent,
+                              .primary_id_ = "p",
+                              .members_ = {{"p"}, {"a"}, {"b"}},
+                              .claimed_ = instant{0}});
+        attempt.start(instant{0});
+        endpoint_status free{.term_ = 1, .received_ = {1, 5}};
+        endpoint_status held{
+            .term_ = 1, .received_ = {1, 5}, .paused_by_term_ = 2};
+        attempt.on_status("p", std::nullopt, instant{1});
+        attempt.on_status("a", free, instant{1});
+        attempt.on_status("b", free, instant{1});
+        attempt.on_status("a", held, instant{2});
+        attempt.on_status("b", held, instant{2});
+        attempt.on_recorded(true, instant{3});
+        attempt.on_ordered(takeover::order_outcome::unknown, instant{4});
+        auto joined = attempt.on_joined("q", instant{10});
+        CPPUNIT_ASSERT(joined.at(0).kind_ == kind::hold);
+        endpoint_status leads{
+            .primary_ = true, .term_ = 1, .received_ = {1, 5}};
+        auto got = attempt.on_status("q", leads, instant{11});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, got.size());
+        CPPUNIT_ASSERT(got[0].kind_ == kind::step_down);
+        CPPUNIT_ASSERT_EQUAL(std::string("q"), got[0].endpoint_id_);
+        // Asked again until it is seen to have stepped down.
+        bool again = false;
+        for (const auto& action : attempt.tick(instant{400}))
+            again = again || action.kind_ == kind::step_down;
+        CPPUNIT_ASSERT(again);
+    }
+
     void suspicion_needs_time_and_rank()
     {
         takeover_trigger trigger({});
--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -12,15 +12,21 @@
 {
 
 // Changes come in series: settings by storm, entries when endpoints start or
-// lapse together. Asking again a little later brings several at once; both
-// have bounds of seconds.
+// lapse together. Asking again a little later brings several at once. Settings
+// have to be in force within three seconds; an endpoint that leaves serves on
+// for seven at the least, and a new primary is told by another table.
 constexpr std::int64_t settings_gap_ms = 100;
-constexpr std::int64_t entries_gap_ms = 250;
+constexpr std::int64_t longest_settings_gap_ms = 800;
+constexpr std::int64_t entries_gap_ms = 500;
+constexpr std::int64_t longest_entries_gap_ms = 2000;
 
 table_feed::options feed_of(const std::string& table, std::uint64_t seed,
-                            std::int64_t gap_ms)
+                            std::int64_t gap_ms, std::int64_t longest_gap_ms)
 {
-    return {.table_ = table, .gap_ms_ = gap_ms, .seed_ = seed};
+    return {.table_ = table,
+            .gap_ms_ = gap_ms,
+            .longest_gap_ms_ = longest_gap_ms,
+            .seed_ = seed};
 }
 
 } // namespace
@@ -30,14 +36,14 @@
     : options_(std::move(opts)), outputs_(std::move(to)),
       settings_(loop, store,
                 feed_of(options_.format_.settings_table_, options_.seed_,
-                        settings_gap_ms),
+                        settings_gap_ms, longest_settings_gap_ms),
                 [this](const rows& current)
                 {
                     on_settings(current);
                 }),
       endpoints_(loop, store,
                  feed_of(options_.format_.endpoints_table_, options_.seed_,
-                         entries_gap_ms),
+                         entries_gap_ms, longest_entries_gap_ms),
                  [this](const rows& current)
                  {
                      on_endpoints(current);
@@ -47,7 +53,7 @@
              {
                  on_hosts(live);
              }),
-      promotions_(loop, store, feed_of(promotions_table, options_.seed_, 0),
+      promotions_(loop, store, feed_of(promotions_table, options_.seed_, 0, 0),
                   [this](const rows& current)
                   {
                       on_promotions(current);
--- a/node/host_directory.h
+++ b/node/host_directory.h
@@ -39,12 +39,13 @@
         fleet_host own_;
         /// The first lists follow a start closely: hosts start together.
         std::int64_t first_list_ms_ = 500;
-        /// A new host has its share of the work within this.
-        std::int64_t list_every_ms_ = 5000;
+        /// A new host has its share of the work within this. Each list has a
+        /// price, and it is as long as the fleet is large.
+        std::int64_t list_every_ms_ = 15'000;
         /// Writes to the store have a price and a rate.
-        std::int64_t renew_every_ms_ = 10'000;
+        std::int64_t renew_every_ms_ = 20'000;
         /// Three renewals that did not come.
-        std::int64_t stale_ms_ = 30'000;
+        std::int64_t stale_ms_ = 60'000;
     };
     using change_handler = std::function<void(const std::vector<fleet_host>&)>;
 
--- a/node/table_feed.cc
+++ b/node/table_feed.cc
@@ -21,7 +21,7 @@
     : loop_(loop), store_(store), options_(std::move(opts)),
       changed_(std::move(changed)), timer_(loop),
       random_(static_cast<std::uint32_t>(options_.seed_)),
-      pause_ms_(options_.first_pause_ms_)
+      pause_ms_(options_.first_pause_ms_), next_gap_ms_(options_.gap_ms_)
 {
 }
 
@@ -68,6 +68,7 @@
 
 void table_feed::watch(std::int64_t wait_ms)
 {
+    watched_ = monotonic_now();
     store_.watch(
         options_.table_, version_, wait_ms,
         [this, alive = std::weak_ptr<bool>(alive_)](result<table_snapshot> got)
@@ -96,7 +97,13 @@
 {
     if (options_.gap_ms_ <= 0)
         return watch(options_.wait_ms_);
-    timer_.expires_after(std::chrono::milliseconds(options_.gap_ms_));
+    // Each call has a price for each host that follows the table. A change
+    // that comes after a while of quiet is not held up.
+    bool series = monotonic_now() - watched_ < next_gap_ms_;
+    std::int64_t gap = series ? next_gap_ms_ : options_.gap_ms_;
+    next_gap_ms_ =
+        std::clamp(gap * 2, options_.gap_ms_, options_.longest_gap_ms_);
+    timer_.expires_after(std::chrono::milliseconds(gap));
     timer_.async_wait(
         [this, alive = std::weak_ptr<bool>(alive_)](io_error cancelled)
         {
--- a/node/table_feed.h
+++ b/node/table_feed.h
@@ -37,8 +37,10 @@
         /// How long the store may hold an answer back. A connection that went
         /// silent is noticed by its keep-alive probes, not by this.
         std::int64_t wait_ms_ = 28'000;
-        /// After changes the next ones are asked for this much later.
+        /// After changes the next ones are asked for this much later; in a
+        /// series of changes twice as late each time, up to the second figure.
         std::int64_t gap_ms_ = 0;
+        std::int64_t longest_gap_ms_ = 0;
         std::int64_t first_pause_ms_ = 50;    ///< after a failed call
         std::int64_t longest_pause_ms_ = 800; ///< settings are in force in 3 s
         std::uint64_t seed_ = 1;
@@ -84,6 +86,8 @@
     std::map<std::string, table_row> rows_;
     std::int64_t version_ = 0;
     std::int64_t pause_ms_;
+    std::int64_t next_gap_ms_;
+    instant watched_ = never; ///< when the last watch was asked
     bool listed_ = false;
     bool connected_ = false;
     instant connected_since_ = never;
--- a/node/table_feed_test.cc
+++ b/node/table_feed_test.cc
@@ -1,6 +1,7 @@
 // Tests of following a table: failures of a store in memory.
 
 #include <chrono>
+#include <thread>
 #include <vector>
 
 #include "node/table_feed.h"
@@ -57,6 +58,7 @@
     CPPUNIT_TEST(changes_are_followed);
     CPPUNIT_TEST(after_a_failure_an_answer_is_wanted_at_once);
     CPPUNIT_TEST(lost_history_is_listed_again);
+    CPPUNIT_TEST(a_series_of_changes_is_asked_for_less_often);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context loop_{1};
@@ -83,7 +85,10 @@
     {
         instant end = monotonic_now() + 2000;
         while (store_.watches_.size() < count && monotonic_now() < end)
+        {
+            loop_.restart();
             loop_.run_one_for(std::chrono::milliseconds(10));
+        }
         CPPUNIT_ASSERT_EQUAL(count, store_.watches_.size());
     }
 
@@ -122,6 +127,46 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, rows_);
         CPPUNIT_ASSERT_EQUAL(std::int64_t{9}, store_.watches_.back().after_);
     }
+
+    // At the start of a fleet entries change for seconds; each host asked for
+    // each change: 15 of its 47 calls of a day.
+    void a_series_of_changes_is_asked_for_less_often()
+    {
+        constexpr std::int64_t gap = 20;
+        feed_ = std::make_unique<table_feed>(
+            loop_, store_,
+            table_feed::options{
+                .table_ = "t", .gap_ms_ = gap, .longest_gap_ms_ = 4 * gap},
+            [](const std::map<std::string, table_row>&) {});
+        feed_->start();
+        held_store::answer(store_.lists_, table_snapshot{.version_ = 5});
+        std::int64_t version = 5;
+        std::vector<std::int64_t> gaps;
+        for (int i = 0; i < 5; ++i)
+        {
+            std::size_t asked = store_.watches_.size();
+            instant answered = monotonic_now();
+            held_store::answer(
+                store_.watches_,
+                table_snapshot{.rows_ = {row("a")}, .version_ = ++version});
+            wait_for_watch(asked + 1);
+            gaps.push_back(monotonic_now() - answered);
+        }
+        CPPUNIT_ASSERT(gaps[0] >= gap);
+        CPPUNIT_ASSERT(gaps[2] >= 4 * gap);
+        CPPUNIT_ASSERT(gaps[4] >= 4 * gap);
+        // After a while of quiet the first change counts as the first again.
+        instant quiet_until = monotonic_now() + 5 * gap;
+        while (monotonic_now() < quiet_until)
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        std::size_t asked = store_.watches_.size();
+        instant answered = monotonic_now();
+        held_store::answer(
+            store_.watches_,
+            table_snapshot{.rows_ = {row("a")}, .version_ = ++version});
+        wait_for_watch(asked + 1);
+        CPPUNIT_ASSERT(monotonic_now() - answered < 4 * gap);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(table_feed_test);
