--- a/coordination/takeover_test.cc
+++ b/coordination/takeover_test.cc
@@ -5,7 +5,6 @@
 
 #include "coordination/group_model_test.h"
 #include "coordination/takeover.h"
-#include "coordination/takeover_trigger.h"
 #include "testing/check.h"
 
 namespace tanagerspan
@@ -35,7 +34,6 @@
     CPPUNIT_TEST(a_replica_of_an_older_term_is_not_promoted);
     CPPUNIT_TEST(a_hold_ends_with_the_promotion);
     CPPUNIT_TEST(a_primary_that_comes_back_steps_down);
-    CPPUNIT_TEST(suspicion_needs_time_and_rank);
     CPPUNIT_TEST_SUITE_END();
 
     struct run_result
@@ -515,29 +513,6 @@
             again = again || action.kind_ == kind::step_down;
         CPPUNIT_ASSERT(again);
     }
-
-    void suspicion_needs_time_and_rank()
-    {
-        takeover_trigger trigger({});
-        primary_health health{
-            .endpoint_id_ = "p", .listed_ = true, .unreachable_ = true};
-        trigger.on_health(health, instant{1000});
-        CPPUNIT_ASSERT(!trigger.check(0, instant{1100}));
-        CPPUNIT_ASSERT(trigger.check(0, instant{1150}) ==
-                       takeover_reason::silent);
-        CPPUNIT_ASSERT(!trigger.check(1, instant{1150}));
-        trigger.on_row({.token_ = 1, .holder_ = "h", .stage_ = "claimed"},
-                       instant{1200});
-        CPPUNIT_ASSERT(!trigger.check(0, instant{3000}));
-        CPPUNIT_ASSERT(trigger.check(0, instant{8700}) ==
-                       takeover_reason::unfinished);
-        health.unreachable_ = false;
-        trigger.on_health(health, instant{9000});
-        trigger.on_row({.token_ = 1, .holder_ = "h", .stage_ = "done"},
-                       instant{9000});
-        CPPUNIT_ASSERT(!trigger.suspicious());
-        CPPUNIT_ASSERT(!trigger.check(0, instant{20'000}));
-    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(takeover_test);
--- /dev/null
+++ b/coordination/takeover_trigger_test.cc
@@ -0,0 +1,67 @@
+// Tests of what makes a host claim a takeover.
+
+#include "coordination/takeover_trigger.h"
+#include "testing/check.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+class takeover_trigger_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(takeover_trigger_test);
+    CPPUNIT_TEST(suspicion_needs_time_and_rank);
+    CPPUNIT_TEST(a_loose_order_is_taken_up_at_once);
+    CPPUNIT_TEST_SUITE_END();
+
+    void suspicion_needs_time_and_rank()
+    {
+        takeover_trigger trigger({});
+        primary_health health{
+            .endpoint_id_ = "p", .listed_ = true, .unreachable_ = true};
+        trigger.on_health(health, instant{1000});
+        CPPUNIT_ASSERT(!trigger.check(0, instant{1100}));
+        CPPUNIT_ASSERT(trigger.check(0, instant{1150}) ==
+                       takeover_reason::silent);
+        CPPUNIT_ASSERT(!trigger.check(1, instant{1150}));
+        trigger.on_row({.token_ = 1, .holder_ = "h", .stage_ = "claimed"},
+                       instant{1200});
+        CPPUNIT_ASSERT(!trigger.check(0, instant{3000}));
+        CPPUNIT_ASSERT(trigger.check(0, instant{8700}) ==
+                       takeover_reason::unfinished);
+        health.unreachable_ = false;
+        trigger.on_health(health, instant{9000});
+        trigger.on_row({.token_ = 1, .holder_ = "h", .stage_ = "done"},
+                       instant{9000});
+        CPPUNIT_ASSERT(!trigger.suspicious());
+        CPPUNIT_ASSERT(!trigger.check(0, instant{20'000}));
+    }
+
+    // An order under way has to be guarded by the next holder at once.
+    void a_loose_order_is_taken_up_at_once()
+    {
+        takeover_trigger trigger({});
+        takeover_row row{
+            .token_ = 1, .holder_ = "h", .stage_ = "given_up", .ordered_ = "a"};
+        trigger.on_row(row, instant{1000});
+        CPPUNIT_ASSERT(trigger.suspicious());
+        CPPUNIT_ASSERT(!trigger.check(0, instant{1049}));
+        CPPUNIT_ASSERT(trigger.check(0, instant{1050}) ==
+                       takeover_reason::unfinished);
+        CPPUNIT_ASSERT(!trigger.check(2, instant{1050}));
+        // It leads: its own orders change nothing.
+        row.stage_ = "done";
+        trigger.on_row(row, instant{2000});
+        CPPUNIT_ASSERT(!trigger.check(0, instant{20'000}));
+        row.stage_ = "given_up";
+        row.ordered_.clear();
+        trigger.on_row(row, instant{30'000});
+        CPPUNIT_ASSERT(!trigger.check(0, instant{60'000}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(takeover_trigger_test);
+
+} // namespace
+} // namespace tanagerspan
