--- a/coordination/takeover.cc
+++ b/coordination/takeover.cc
@@ -151,8 +151,14 @@
         bool leads = one.answered_ && one.status_.primary_ &&
                      one.status_.term_ == newest &&
                      one.who_.id_ != task_.primary_id_;
-        if (leads)
+        if (!leads)
+            continue;
+        // An order under way for another would cut what it acknowledges.
+        bool cut_later =
+            task_.left_.ordered_.value_or(one.who_.id_) != one.who_.id_;
+        if (!cut_later)
             return finish(one.who_.id_, "another one leads already", now);
+        task_.primary_id_ = one.who_.id_;
     }
     if (newest == 0)
         return give_up("no endpoint answered", now);
--- a/coordination/takeover_test.cc
+++ b/coordination/takeover_test.cc
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(a_replica_of_an_older_term_is_not_promoted);
     CPPUNIT_TEST(a_hold_ends_with_the_promotion);
     CPPUNIT_TEST(a_primary_that_comes_back_steps_down);
+    CPPUNIT_TEST(an_unknown_leader_steps_down_under_an_order);
     CPPUNIT_TEST_SUITE_END();
 
     struct run_result
@@ -513,6 +514,27 @@
             again = again || action.kind_ == kind::step_down;
         CPPUNIT_ASSERT(again);
     }
+
+    // It came back under an id that this host did not take for the primary.
+    void an_unknown_leader_steps_down_under_an_order()
+    {
+        takeover attempt({}, {.reason_ = takeover_reason::unfinished,
+                              .primary_id_ = "p",
+                              .members_ = {{"p"}, {"a"}, {"q"}},
+                              .left_ = {.ordered_ = "a"},
+                              .claimed_ = instant{0}});
+        attempt.start(instant{0});
+        endpoint_status held{
+            .term_ = 1, .received_ = {1, 5}, .paused_by_term_ = 2};
+        endpoint_status leads{
+            .primary_ = true, .term_ = 1, .received_ = {1, 5}};
+        attempt.on_status("p", std::nullopt, instant{1});
+        attempt.on_status("a", held, instant{1});
+        auto got = attempt.on_status("q", leads, instant{1});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, got.size());
+        CPPUNIT_ASSERT(got[0].kind_ == kind::step_down);
+        CPPUNIT_ASSERT_EQUAL(std::string("q"), got[0].endpoint_id_);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(takeover_test);
