A leaving primary is left in time; a lost fence is tried again at once

A leaving primary for which an earlier order travels is replaced only after a fence; fences were lost too, each took 3 s to time out, and then one was answered under a token of which a copy travelled. Meanwhile it was used for 6 s after it was known to leave, and with gaps of 2 s in a series of changes that was known 1.6 s late.

Ruled out: new work sent past the limit of 6 s itself (the log shows it kept).

It is used for 4.5 s after it is known to leave: the shortest drain period less the longest gap and a busy store.

Tests: an_endpoint_that_leaves_is_left_in_time fails with 6 s.

--- a/coordination/takeover_order.cc
+++ b/coordination/takeover_order.cc
@@ -147,6 +147,10 @@
     if (outcome == order_outcome::unknown)
     {
         outcome_unknown_ = true;
+        // A copy of a fence would undo what follows under the same token; the
+        // next attempt has a higher one.
+        if (phase_ == phase::fencing)
+            return give_up("an order for the primary may be under way", now);
         return {{kind::ask_status, target_}};
     }
     if (outcome != order_outcome::done)
@@ -161,9 +165,6 @@
         ordered_done_ = true;
         return {};
     }
-    // A copy of this order would undo what follows under the same token.
-    if (outcome_unknown_)
-        return give_up("an order for the primary may be under way", now);
     fence_ = false;
     phase_ = phase::fenced;
     phase_since_ = now;
--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -83,9 +83,11 @@
         std::int64_t no_surplus_ms_ = 10'000;
         /// Connections beyond the share, while there is work for them.
         std::size_t surplus_ = 2;
-        /// No new work goes to an endpoint that has been leaving for this
-        /// long; the drain period of endpoints is longer.
-        std::int64_t leaving_ms_ = 6000;
+        /// No new work goes to an endpoint that is known to be leaving for
+        /// this long: the shortest drain period, 7 s, less the longest time
+        /// in which a change of an entry is not asked for (`fleet_control`),
+        /// less a call to a busy store.
+        std::int64_t leaving_ms_ = 4500;
         /// Connections that are set up at the same time: each takes a slot.
         std::size_t opening_ = 1;
         /// A mark this old is renewed while reads ask for marks: several fit
--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -13,12 +13,12 @@
 
 // Changes come in series: settings by storm, entries when endpoints start or
 // lapse together. Asking again a little later brings several at once. Settings
-// have to be in force within three seconds; an endpoint that leaves serves on
-// for seven at the least, and a new primary is told by another table.
+// have to be in force within three seconds. An endpoint that leaves serves on
+// for seven at the least, of which `leaving_ms_` of endpoint_group leaves room
+// for the longest gap; a new primary is told by another table.
 constexpr std::int64_t settings_gap_ms = 100;
 constexpr std::int64_t longest_settings_gap_ms = 800;
 constexpr std::int64_t entries_gap_ms = 500;
-constexpr std::int64_t longest_entries_gap_ms = 2000;
 
 table_feed::options feed_of(const std::string& table, std::uint64_t seed,
                             std::int64_t gap_ms, std::int64_t longest_gap_ms)
--- a/node/fleet_control.h
+++ b/node/fleet_control.h
@@ -65,6 +65,9 @@
     /// the store did not answer.
     void leave(std::function<void()> done);
 
+    /// For so long a change of an endpoint's entry may go unseen.
+    static constexpr std::int64_t longest_entries_gap_ms = 2000;
+
     /// Names of the tables that the fleet keeps.
     static constexpr const char* hosts_table = "tanager-hosts";
     static constexpr const char* promotions_table = "tanager-promotions";
--- a/node/table_feed_test.cc
+++ b/node/table_feed_test.cc
@@ -4,6 +4,8 @@
 #include <thread>
 #include <vector>
 
+#include "node/endpoint_group.h"
+#include "node/fleet_control.h"
 #include "node/table_feed.h"
 #include "testing/check.h"
 #include "transport/monotonic_clock.h"
@@ -59,6 +61,7 @@
     CPPUNIT_TEST(after_a_failure_an_answer_is_wanted_at_once);
     CPPUNIT_TEST(lost_history_is_listed_again);
     CPPUNIT_TEST(a_series_of_changes_is_asked_for_less_often);
+    CPPUNIT_TEST(an_endpoint_that_leaves_is_left_in_time);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context loop_{1};
@@ -167,6 +170,18 @@
         wait_for_watch(asked + 1);
         CPPUNIT_ASSERT(monotonic_now() - answered < 4 * gap);
     }
+
+    // Regression: with longer gaps a leaving primary without a successor was
+    // used for 7.5 s after it had said so.
+    void an_endpoint_that_leaves_is_left_in_time()
+    {
+        constexpr std::int64_t shortest_drain_ms = 7000;
+        constexpr std::int64_t busy_store_ms = 500;
+        CPPUNIT_ASSERT(endpoint_group::options{}.leaving_ms_ +
+                           fleet_control::longest_entries_gap_ms +
+                           busy_store_ms <=
+                       shortest_drain_ms);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(table_feed_test);
