--- a/coordination/takeover_test.cc
+++ b/coordination/takeover_test.cc
@@ -113,6 +113,35 @@
         return out;
     }
 
+    /// An attempt that has asked for the first time, at 0 ms.
+    static takeover started(takeover_reason reason,
+                            std::vector<takeover_member> members,
+                            loose_orders left = {})
+    {
+        takeover attempt({}, {.reason_ = reason,
+                              .primary_id_ = "p",
+                              .members_ = std::move(members),
+                              .left_ = std::move(left),
+                              .claimed_ = instant{0}});
+        attempt.start(instant{0});
+        return attempt;
+    }
+
+    static endpoint_status replica_status(std::uint64_t held_term = 0)
+    {
+        return {.term_ = 1, .received_ = {1, 5}, .paused_by_term_ = held_term};
+    }
+
+    /// "p" is silent, "a" and "b" answer and are held, at 1 and 2 ms.
+    static void hold_both(takeover& attempt)
+    {
+        attempt.on_status("p", std::nullopt, instant{1});
+        attempt.on_status("a", replica_status(), instant{1});
+        attempt.on_status("b", replica_status(), instant{1});
+        attempt.on_status("a", replica_status(2), instant{2});
+        attempt.on_status("b", replica_status(2), instant{2});
+    }
+
     static void quiet(group_model&)
     {
     }
@@ -213,11 +242,8 @@
 
     void an_endpoint_that_joins_stops_an_attempt()
     {
-        takeover attempt({}, {.reason_ = takeover_reason::silent,
-                              .primary_id_ = "p",
-                              .members_ = {{"p"}, {"a"}, {"b"}},
-                              .claimed_ = instant{0}});
-        attempt.start(instant{0});
+        takeover attempt =
+            started(takeover_reason::silent, {{"p"}, {"a"}, {"b"}});
         attempt.on_joined("n", instant{1});
         CPPUNIT_ASSERT(attempt.finished());
     }
@@ -226,11 +252,8 @@
     // the leader's, who was then taken for a replica and replaced.
     void a_leader_is_known_beside_a_hold_of_a_higher_term()
     {
-        takeover attempt({}, {.reason_ = takeover_reason::leaving,
-                              .primary_id_ = "p",
-                              .members_ = {{"p", true}, {"a"}, {"b"}},
-                              .claimed_ = instant{0}});
-        attempt.start(instant{0});
+        takeover attempt =
+            started(takeover_reason::leaving, {{"p", true}, {"a"}, {"b"}});
         endpoint_status leads{
             .primary_ = true, .term_ = 4, .received_ = {4, 9}};
         endpoint_status behind{
@@ -244,11 +267,8 @@
 
     void a_leader_that_appears_ends_the_attempt()
     {
-        takeover attempt({}, {.reason_ = takeover_reason::silent,
-                              .primary_id_ = "p",
-                              .members_ = {{"p"}, {"a"}, {"b"}},
-                              .claimed_ = instant{0}});
-        attempt.start(instant{0});
+        takeover attempt =
+            started(takeover_reason::silent, {{"p"}, {"a"}, {"b"}});
         endpoint_status free{.term_ = 1, .received_ = {1, 5}};
         attempt.on_status("p", std::nullopt, instant{1});
         attempt.on_status("a", free, instant{1});
@@ -269,11 +289,8 @@
             .primary_ = true, .term_ = 2, .received_ = {2, 6}};
         for (bool before_holding : {true, false})
         {
-            takeover attempt({}, {.reason_ = takeover_reason::silent,
-                                  .primary_id_ = "p",
-                                  .members_ = {{"p"}, {"a"}, {"b"}},
-                                  .claimed_ = instant{0}});
-            attempt.start(instant{0});
+            takeover attempt =
+                started(takeover_reason::silent, {{"p"}, {"a"}, {"b"}});
             attempt.on_status("p", std::nullopt, instant{1});
             if (!before_holding)
             {
@@ -295,11 +312,8 @@
     // held in a term that was too low.
     void a_busy_primary_is_kept()
     {
-        takeover attempt({}, {.reason_ = takeover_reason::stuck,
-                              .primary_id_ = "p",
-                              .members_ = {{"p"}, {"a"}, {"b"}},
-                              .claimed_ = instant{0}});
-        attempt.start(instant{0});
+        takeover attempt =
+            started(takeover_reason::stuck, {{"p"}, {"a"}, {"b"}});
         attempt.on_refused("p", instant{5});
         endpoint_status replica{.term_ = 3, .received_ = {3, 5}};
         attempt.on_status("a", replica, instant{5});
@@ -325,19 +339,9 @@
 
     void nothing_is_released_while_an_order_may_travel()
     {
-        takeover attempt({}, {.reason_ = takeover_reason::silent,
-                              .primary_id_ = "p",
-                              .members_ = {{"p"}, {"a"}, {"b"}},
-                              .claimed_ = instant{0}});
-        attempt.start(instant{0});
-        attempt.on_status("p", std::nullopt, instant{1});
-        endpoint_status free{.term_ = 1, .received_ = {1, 5}};
-        endpoint_status held{
-            .term_ = 1, .received_ = {1, 5}, .paused_by_term_ = 2};
-        attempt.on_status("a", free, instant{1});
-        attempt.on_status("b", free, instant{1});
-        attempt.on_status("a", held, instant{2});
-        attempt.on_status("b", held, instant{2});
+        takeover attempt =
+            started(takeover_reason::silent, {{"p"}, {"a"}, {"b"}});
+        hold_both(attempt);
         attempt.on_recorded(true, instant{3});
         attempt.on_ordered(takeover::order_outcome::unknown, instant{4});
         for (const auto& action : attempt.tick(instant{60'000}))
@@ -347,19 +351,9 @@
 
     void a_paused_holder_orders_nothing()
     {
-        takeover attempt({}, {.reason_ = takeover_reason::silent,
-                              .primary_id_ = "p",
-                              .members_ = {{"p"}, {"a"}, {"b"}},
-                              .claimed_ = instant{0}});
-        attempt.start(instant{0});
-        attempt.on_status("p", std::nullopt, instant{1});
-        endpoint_status free{.term_ = 1, .received_ = {1, 5}};
-        endpoint_status held{
-            .term_ = 1, .received_ = {1, 5}, .paused_by_term_ = 2};
-        attempt.on_status("a", free, instant{1});
-        attempt.on_status("b", free, instant{1});
-        attempt.on_status("a", held, instant{2});
-        attempt.on_status("b", held, instant{2});
+        takeover attempt =
+            started(takeover_reason::silent, {{"p"}, {"a"}, {"b"}});
+        hold_both(attempt);
         for (const auto& action :
              bring_to_end(attempt, attempt.on_recorded(true, instant{9000}),
                           instant{9001}))
@@ -462,11 +456,8 @@
     // the promotion did not end that hold, and the replica stayed held.
     void a_hold_ends_with_the_promotion()
     {
-        takeover attempt({}, {.reason_ = takeover_reason::silent,
-                              .primary_id_ = "p",
-                              .members_ = {{"p"}, {"a"}, {"b"}},
-                              .claimed_ = instant{0}});
-        attempt.start(instant{0});
+        takeover attempt =
+            started(takeover_reason::silent, {{"p"}, {"a"}, {"b"}});
         endpoint_status free{.term_ = 1, .received_ = {1, 5}};
         endpoint_status held{
             .term_ = 1, .received_ = {1, 5}, .paused_by_term_ = 2};
@@ -485,19 +476,9 @@
     // order travelled, and a replica that joined vouched for its changes.
     void a_primary_that_comes_back_steps_down()
     {
-        takeover attempt({}, {.reason_ = takeover_reason::silent,
-                              .primary_id_ = "p",
-                              .members_ = {{"p"}, {"a"}, {"b"}},
-                              .claimed_ = instant{0}});
-        attempt.start(instant{0});
-        endpoint_status free{.term_ = 1, .received_ = {1, 5}};
-        endpoint_status held{
-            .term_ = 1, .received_ = {1, 5}, .paused_by_term_ = 2};
-        attempt.on_status("p", std::nullopt, instant{1});
-        attempt.on_status("a", free, instant{1});
-        attempt.on_status("b", free, instant{1});
-        attempt.on_status("a", held, instant{2});
-        attempt.on_status("b", held, instant{2});
+        takeover attempt =
+            started(takeover_reason::silent, {{"p"}, {"a"}, {"b"}});
+        hold_both(attempt);
         attempt.on_recorded(true, instant{3});
         attempt.on_ordered(takeover::order_outcome::unknown, instant{4});
         auto joined = attempt.on_joined("q", instant{10});
@@ -518,12 +499,8 @@
     // It came back under an id that this host did not take for the primary.
     void an_unknown_leader_steps_down_under_an_order()
     {
-        takeover attempt({}, {.reason_ = takeover_reason::unfinished,
-                              .primary_id_ = "p",
-                              .members_ = {{"p"}, {"a"}, {"q"}},
-                              .left_ = {.ordered_ = "a"},
-                              .claimed_ = instant{0}});
-        attempt.start(instant{0});
+        takeover attempt = started(takeover_reason::unfinished,
+                                   {{"p"}, {"a"}, {"q"}}, {.ordered_ = "a"});
         endpoint_status held{
             .term_ = 1, .received_ = {1, 5}, .paused_by_term_ = 2};
         endpoint_status leads{
