Log and report the load of each service by window

Cause: logs had failures only; which share of the callers was late or refused when, where and why could not be told, nor how many reads replicas served.

Change: each proxy logs the counts of every service and read consistency every 2 s (event load; at most services x 3 lines a window) and shows their sums on the metrics page; tanagerctl report adds up the logs of all proxies by window, by service and by proxy, as text or JSON.

--- a/daemons/tanagerctl_main.cc
+++ b/daemons/tanagerctl_main.cc
@@ -10,6 +10,7 @@
 #include <Poco/UUIDGenerator.h>
 #include <cxxopts.hpp>
 
+#include "load/load_report.h"
 #include "state/team_settings.h"
 #include "transport/http_connection.h"
 
@@ -35,6 +36,7 @@
   drain                          shut this proxy down gracefully
   move SERVICE MEMBER            planned move of a primary
   explain [SERVICE|TEAM|ID]      decisions and their causes
+  report FILE...                 late and refused statements, from proxies' logs
 Exit: 0 done, 1 refused, 2 bad usage, 3 not known whether it took effect.
 )";
 
@@ -213,10 +215,42 @@
     return exit_ok;
 }
 
+int run_report(const command_context& context, const arguments& given)
+{
+    if (given.size() < 2)
+        return exit_usage;
+    load_report report({});
+    std::int64_t unreadable = 0;
+    for (std::size_t i = 1; i < given.size(); ++i)
+    {
+        std::ifstream in(given[i]);
+        if (!in)
+        {
+            std::cerr << "not_found: " << given[i] << ": cannot be read\n";
+            return exit_usage;
+        }
+        for (std::string line; std::getline(in, line);)
+        {
+            auto added = report.add_line(line);
+            if (!added && added.error().code_ != error_code::not_found)
+                ++unreadable;
+        }
+    }
+    if (context.json_)
+        std::cout << report.to_json().dump() << "\n";
+    else
+        report.write(std::cout);
+    if (unreadable > 0)
+        std::cerr << unreadable << " load events could not be read\n";
+    return unreadable > 0 ? exit_refused : exit_ok;
+}
+
 int run_command(command_context& context, const arguments& given)
 {
     if (given.empty())
         return exit_usage;
+    if (given[0] == "report")
+        return run_report(context, given);
     if (given[0] == "status")
         return run_status(context);
     if (given[0] == "settings")
--- a/node/caller_session.cc
+++ b/node/caller_session.cc
@@ -18,19 +18,6 @@
 // after two seconds.
 constexpr std::int64_t max_open_wait_ms = 1500;
 
-std::string_view rule_name(const database_route& route)
-{
-    switch (route.consistency_)
-    {
-    case read_consistency::primary:
-        return "primary";
-    case read_consistency::bounded_staleness:
-        return "bounded_staleness";
-    default:
-        return "read_your_writes";
-    }
-}
-
 bool needs_endpoint(statement_kind kind)
 {
     return kind == statement_kind::read || kind == statement_kind::write ||
@@ -322,9 +309,11 @@
         transaction_failed_ = true;
     }
     last_active_ = monotonic_now();
+    load_counts& load = gateway_->group()->load().of(route_.consistency_);
     if (outcome.answer_.error_)
     {
         auto error = std::string(name_of(*outcome.answer_.error_));
+        ++load.errors_[error];
         ++environment_.counters_->refused_[error];
         log_line(log_level::info, "statement_failed",
                  {{"request", stmt.id_},
@@ -336,9 +325,13 @@
                   {"took_ms", last_active_ - arrived}});
     }
     else
+    {
         ++environment_.counters_->answered_;
+        bool in_time = last_active_ - arrived <= route_.target_latency_ms_;
+        ++(in_time ? load.in_time_ : load.late_);
+    }
     environment_.counters_->latencies_.record(
-        route_.service_, std::string(rule_name(route_)),
+        route_.service_, std::string(name_of(route_.consistency_)),
         (last_active_ - arrived) * us_per_ms);
     send_reply(outcome.answer_);
     // Processes messages that arrived meanwhile, unless the loop of
--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -34,6 +34,7 @@
 #include "coordination/retry_budget.h"
 #include "coordination/takeover_trigger.h"
 #include "node/endpoint_link.h"
+#include "state/load_counts.h"
 #include "state/service_catalogue.h"
 
 namespace tanagerspan
@@ -189,6 +190,10 @@
     {
         return primary_unreachable_;
     }
+    load_counters& load()
+    {
+        return load_;
+    }
     std::size_t waiting() const
     {
         return waiting_.size();
@@ -269,6 +274,7 @@
     std::vector<timed_link> abandoned_links_;
     std::vector<timed_link> timed_links_; ///< closed unless answered in time
     freshness_marks marks_{{}};
+    load_counters load_;
     retry_budget repeat_budget_{{.earned_per_attempt_ = 0.05, .cap_ = 10.0}};
     instant last_primary_grant_ = never;
     instant last_read_grant_ = never;
--- a/node/local_run.cc
+++ b/node/local_run.cc
@@ -45,6 +45,11 @@
 {
 }
 
+load_counts& local_run::load() const
+{
+    return group_->load().of(options_.route_.consistency_);
+}
+
 void local_run::start()
 {
     if (!options_.transaction_)
@@ -104,6 +109,7 @@
     phase_ = phase::waiting;
     retry_at_ = never;
     begun_ = false;
+    waiting_since_ = now;
     choose_mode(now);
     link_request request{
         .primary_ = mode_ != mode::positioned_read,
@@ -137,6 +143,8 @@
     link_ = link;
     ++attempts_;
     sent_at_ = now;
+    ++load().granted_;
+    load().waited_ms_ += now - waiting_since_;
     replay(link);
     if (options_.begin_ || mode_ == mode::primary_read)
         send_begin();
@@ -279,6 +287,7 @@
                      current_step == attempt_step::commit;
     if (committed && got.position_)
         group_->marks().add(sent_at_, *got.position_);
+    count_read(now);
     run_outcome outcome{.answer_ = std::move(got)};
     bool is_commit = options_.statement_.kind_ == statement_kind::commit;
     if (options_.in_transaction() && !is_commit)
@@ -297,6 +306,15 @@
     finish(std::move(outcome));
 }
 
+void local_run::count_read(instant now)
+{
+    if (options_.writes_ || options_.in_transaction())
+        return;
+    bool at_primary = mode_ != mode::positioned_read ||
+                      link_->endpoint().id_ == group_->primary_id(now);
+    ++(at_primary ? load().primary_reads_ : load().replica_reads_);
+}
+
 void local_run::report_to_group(attempt_failure cause,
                                 const std::optional<reply>& got, instant now)
 {
--- a/node/local_run.h
+++ b/node/local_run.h
@@ -80,10 +80,12 @@
                          instant now);
     void release_link(const attempt_decision& decision, instant now);
     void retry(instant now);
+    void count_read(instant now);
     void deliver_error(const reply& got);
     void refuse(reply_error error, std::string_view why);
     void finish(run_outcome outcome);
     attempt_step step() const;
+    load_counts& load() const;
 
     std::shared_ptr<endpoint_group> group_;
     run_options options_;
@@ -95,6 +97,7 @@
     std::optional<position_requirement> position_;
     std::vector<std::string> excluded_;
     std::int64_t attempts_ = 0;
+    instant waiting_since_ = never;
     instant sent_at_ = never;
     instant retry_at_ = never;
     bool begun_ = false;       ///< this run began a transaction on the link
--- a/node/traffic_server.cc
+++ b/node/traffic_server.cc
@@ -20,6 +20,10 @@
 // can start a takeover.
 constexpr std::int64_t min_reported_wait_ms = 300;
 
+// The interval at which the load of each service is logged: short enough to
+// tell the seconds of a fault from those after it.
+constexpr std::int64_t load_window_ms = 2000;
+
 } // namespace
 
 traffic_server::traffic_server(boost::asio::io_context& loop, options opts)
@@ -117,6 +121,7 @@
         gateway->tick(now);
     peers_.tick(now);
     report_health(now);
+    report_load(now);
     if (on_drained_)
         tick_drain(now);
 }
@@ -290,6 +295,50 @@
     }
 }
 
+void traffic_server::report_load(instant now)
+{
+    if (now - load_reported_at_ < load_window_ms)
+        return;
+    load_reported_at_ = now;
+    for (const auto& [name, gateway] : gateways_)
+    {
+        for (const auto& [consistency, counts] :
+             gateway->group()->load().end_window())
+            log_line(log_level::info, "load",
+                     {{"service", name},
+                      {"consistency", consistency},
+                      {"waiting", gateway->group()->waiting()},
+                      {"counts", encode(counts)}});
+    }
+}
+
+void traffic_server::write_load(std::ostream& out) const
+{
+    for (const auto& [service, gateway] : gateways_)
+    {
+        for (const auto& [consistency, counts] :
+             gateway->group()->load().totals())
+        {
+            std::string labels = "{service=\"" + service + "\",consistency=\"" +
+                                 consistency + "\"";
+            auto write = [&](std::string_view name, std::int64_t value)
+            {
+                out << "tanager_" << name << "_total" << labels << "} " << value
+                    << '\n';
+            };
+            write("in_time", counts.in_time_);
+            write("late", counts.late_);
+            write("granted", counts.granted_);
+            write("waited_ms", counts.waited_ms_);
+            write("replica_reads", counts.replica_reads_);
+            write("primary_reads", counts.primary_reads_);
+            for (const auto& [reason, count] : counts.refused_)
+                out << "tanager_refused_waiting_total" << labels << ",reason=\""
+                    << reason << "\"} " << count << '\n';
+        }
+    }
+}
+
 std::string traffic_server::metrics() const
 {
     std::ostringstream out;
@@ -307,6 +356,7 @@
     for (const auto& [name, gateway] : gateways_)
         out << "tanager_waiting{service=\"" << name << "\"} "
             << gateway->group()->waiting() << '\n';
+    write_load(out);
     counters_.latencies_.write_prometheus(out, "tanager_statement_latency");
     return out.str();
 }
--- a/node/traffic_server.h
+++ b/node/traffic_server.h
@@ -11,6 +11,7 @@
 // its calls to that loop.
 
 #include <functional>
+#include <iosfwd>
 #include <list>
 #include <map>
 #include <memory>
@@ -80,6 +81,8 @@
     void serve_peers();
     void tick_drain(instant now);
     void report_health(instant now);
+    void report_load(instant now);
+    void write_load(std::ostream& out) const;
     std::shared_ptr<service_gateway> gateway_of(const std::string& service);
     std::shared_ptr<endpoint_group> group_of(const std::string& service);
     void apply_endpoints();
@@ -101,6 +104,7 @@
     route_table_ptr routes_;
     endpoint_list_ptr endpoints_;
     home_plan_ptr plan_;
+    instant load_reported_at_ = never;
     instant drain_since_ = never;
     instant drain_until_ = never;
     std::function<void()> on_drained_;
--- a/state/service_catalogue.h
+++ b/state/service_catalogue.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace tanagerspan
@@ -28,6 +29,20 @@
     read_your_writes   ///< as bounded_staleness, and the session's own commits
 };
 
+/// Returns the name that logs and metrics use.
+constexpr std::string_view name_of(read_consistency consistency)
+{
+    switch (consistency)
+    {
+    case read_consistency::primary:
+        return "primary";
+    case read_consistency::bounded_staleness:
+        return "bounded_staleness";
+    default:
+        return "read_your_writes";
+    }
+}
+
 /// The service that sessions of one database use, and how.
 struct database_route
 {
