Refuse statements that cannot be served in time

Load: for seconds one service gets more work than its endpoints can do (both replicas lag and all reads go to the primary).

Cause: a statement waited for half of its timeout, past its target, and was refused then; its caller returned and waited again.

Ruled out: that the estimate of the replicas' lag keeps reads away after the fault. The backlog is real.

Change: admission_plan.h refuses at once what cannot start in time, by the rule of Moore and Hodgson (longest expected work first within a priority, weighted by the share of its route that is served), at the pace measured while statements wait (load_estimates.h). The rule of half of the timeout is removed. Nothing is refused where the pace is unknown or nothing is served.

--- a/coordination/endpoint_choice.cc
+++ b/coordination/endpoint_choice.cc
@@ -54,8 +54,8 @@
     return std::nullopt;
 }
 
-std::optional<std::size_t>
-choose_for_read(std::span<const endpoint_candidate> endpoints,
+std::vector<std::size_t>
+usable_for_read(std::span<const endpoint_candidate> endpoints,
                 const std::optional<position_requirement>& need,
                 std::span<const std::size_t> excluded, instant now)
 {
@@ -64,20 +64,33 @@
                                  {
                                      return one.leaving_;
                                  });
+    std::vector<std::size_t> out;
+    for (std::size_t at = 0; at < endpoints.size(); ++at)
+    {
+        const endpoint_candidate& one = endpoints[at];
+        if (may_have_position(one, need, now) && (all_leave || !one.leaving_) &&
+            std::find(excluded.begin(), excluded.end(), at) == excluded.end())
+            out.push_back(at);
+    }
+    return out;
+}
+
+std::optional<std::size_t>
+choose_for_read(std::span<const endpoint_candidate> endpoints,
+                const std::optional<position_requirement>& need,
+                std::span<const std::size_t> excluded, instant now)
+{
+    auto usable = usable_for_read(endpoints, need, excluded, now);
     for (bool allow_avoided : {false, true})
     {
         std::optional<std::size_t> best;
-        for (std::size_t at = 0; at < endpoints.size(); ++at)
+        for (std::size_t at : usable)
         {
             const endpoint_candidate& one = endpoints[at];
-            bool usable = one.connection_available_ &&
-                          may_have_position(one, need, now) &&
-                          (all_leave || !one.leaving_) &&
-                          (allow_avoided || one.avoided_until_ <= now) &&
-                          std::find(excluded.begin(), excluded.end(), at) ==
-                              excluded.end();
-            if (usable &&
-                (!best || expected_ms(one) < expected_ms(endpoints[*best])))
+            if (!one.connection_available_ ||
+                (one.avoided_until_ > now && !allow_avoided))
+                continue;
+            if (!best || expected_ms(one) < expected_ms(endpoints[*best]))
                 best = at;
         }
         if (best)
--- a/coordination/endpoint_choice.h
+++ b/coordination/endpoint_choice.h
@@ -59,6 +59,13 @@
 std::optional<std::size_t>
 choose_primary(std::span<const endpoint_candidate> endpoints);
 
+/// The indexes of the endpoints that may run a read, whether or not a
+/// connection is available now. `excluded` holds indexes.
+std::vector<std::size_t>
+usable_for_read(std::span<const endpoint_candidate> endpoints,
+                const std::optional<position_requirement>& need,
+                std::span<const std::size_t> excluded, instant now);
+
 /// The index of the endpoint for a read, never one of `excluded` (indexes);
 /// nullopt if no endpoint is usable.
 std::optional<std::size_t>
--- a/coordination/queue_order.h
+++ b/coordination/queue_order.h
@@ -1,21 +1,14 @@
 #ifndef TANAGERSPAN_COORDINATION_QUEUE_ORDER_H
 #define TANAGERSPAN_COORDINATION_QUEUE_ORDER_H
 
-// The order in which statements that wait for a connection are served, and
-// when a waiting statement is refused.
+// The order in which statements that wait for a connection are served.
 //
 // Lower priority numbers go first. Within a priority, statements that can
 // still meet their latency target go before those that can't, and among them
 // the one with the least time left. Without this rule an overloaded service
 // is late for every caller: the oldest statement is always served first, just
-// after it missed its target.
-//
-// Load shedding: when for seconds more work arrives than an endpoint can do, a
-// statement that has waited for half of its timeout while others were served
-// is refused, so that its caller has the other half for another attempt. While
-// nothing is served, as between the loss of a primary and the promotion of the
-// next, statements wait for their whole timeout: they are served as soon as
-// anything is.
+// after it missed its target. Which statements are refused because they cannot
+// be served at all is decided in coordination/admission_plan.h.
 //
 // Pure functions.
 
@@ -50,20 +43,6 @@
                                                waiting_share);
 }
 
-/// Whether to refuse a statement that has waited since `arrived`.
-/// `last_served` is the last time that a statement for the same endpoints was
-/// served.
-inline bool should_shed(instant arrived, std::int64_t timeout_ms,
-                        instant last_served, instant now)
-{
-    // Under load, statements are served at far shorter intervals than this,
-    // and no statement is served for longer than this during a takeover.
-    constexpr std::int64_t max_serving_gap_ms = 300;
-    constexpr std::int64_t shed_timeout_divisor = 2;
-    bool serving = now - last_served < max_serving_gap_ms;
-    return serving && now - arrived >= timeout_ms / shed_timeout_divisor;
-}
-
 } // namespace tanagerspan
 
 #endif
--- a/node/endpoint_group.cc
+++ b/node/endpoint_group.cc
@@ -174,6 +174,32 @@
     return out;
 }
 
+std::vector<std::size_t>
+endpoint_group::excluded_indexes(const link_request& request) const
+{
+    std::vector<std::size_t> out;
+    const auto& ids = request.excluded_;
+    for (std::size_t i = 0; i < endpoints_.size(); ++i)
+    {
+        if (std::find(ids.begin(), ids.end(), endpoints_[i]->entry_.id_) !=
+            ids.end())
+            out.push_back(i);
+    }
+    return out;
+}
+
+std::vector<std::size_t>
+endpoint_group::usable_endpoints(const link_request& request,
+                                 std::span<const endpoint_candidate> candidates,
+                                 instant now) const
+{
+    if (!request.primary_)
+        return usable_for_read(candidates, request.position_,
+                               excluded_indexes(request), now);
+    auto primary = primary_index(now);
+    return primary ? std::vector{*primary} : std::vector<std::size_t>{};
+}
+
 std::optional<std::size_t> endpoint_group::choose(const link_request& request,
                                                   bool idle_only,
                                                   instant now) const
@@ -181,14 +207,7 @@
     auto candidates = endpoint_loads(request, idle_only, now);
     if (request.primary_)
         return choose_primary(candidates);
-    std::vector<std::size_t> excluded;
-    for (std::size_t i = 0; i < endpoints_.size(); ++i)
-    {
-        const auto& ids = request.excluded_;
-        if (std::find(ids.begin(), ids.end(), endpoints_[i]->entry_.id_) !=
-            ids.end())
-            excluded.push_back(i);
-    }
+    auto excluded = excluded_indexes(request);
     auto best = choose_for_read(candidates, request.position_, excluded, now);
     // Once all endpoints have been excluded, any of them is used again.
     if (!best && !excluded.empty() && excluded.size() == endpoints_.size())
@@ -309,6 +328,8 @@
                                 take_idle(endpoint, work->request_.session_));
             (work->request_.primary_ ? last_primary_grant_ : last_read_grant_) =
                 now;
+            if (work->request_.refused_)
+                route_loads_[work->request_.route_].on_decided(true);
             work = waiting_.erase(work);
             continue;
         }
@@ -324,6 +345,51 @@
     }
     for (auto& [granted, link] : grants)
         granted(link);
+    refuse_unservable(now);
+}
+
+void endpoint_group::refuse_unservable(instant now)
+{
+    for (auto& endpoint : endpoints_)
+        endpoint->backlogged_ = false;
+    if (waiting_.empty())
+        return;
+    auto candidates = endpoint_loads({}, false, now);
+    std::vector<std::optional<double>> paces;
+    for (const auto& endpoint : endpoints_)
+        paces.push_back(endpoint->pace_.ms_per_work_ms(now));
+    std::vector<waiting_statement> statements;
+    std::vector<std::list<waiting_work>::iterator> works;
+    for (auto work = waiting_.begin(); work != waiting_.end(); ++work)
+    {
+        const link_request& request = work->request_;
+        if (!request.refused_)
+            continue;
+        const route_load& load = route_loads_[request.route_];
+        statements.push_back(
+            {.order_ = request.order_,
+             .deadline_ = request.deadline_,
+             .work_ms_ = load.work_ms(),
+             .served_share_ = load.served_share(),
+             .endpoints_ = usable_endpoints(request, candidates, now)});
+        works.push_back(work);
+        for (std::size_t index : statements.back().endpoints_)
+            endpoints_[index]->backlogged_ = true;
+    }
+    std::vector<std::function<void()>> refusals;
+    for (const auto& refused : plan_refusals(statements, paces, now))
+    {
+        auto work = works[refused.index_];
+        route_loads_[work->request_.route_].on_decided(false);
+        refusals.push_back(
+            [handler = std::move(work->request_.refused_), refused]
+            {
+                handler(refused);
+            });
+        waiting_.erase(work);
+    }
+    for (const auto& refuse : refusals)
+        refuse();
 }
 
 void endpoint_group::release(const link_ptr& link, bool usable, instant now)
@@ -379,12 +445,16 @@
         endpoint->unanswered_write_since_ = now;
 }
 
-void endpoint_group::on_answered(const link_ptr& link, instant sent_at,
-                                 instant now)
+void endpoint_group::on_answered(const link_ptr& link, const std::string& route,
+                                 bool from_queue, instant sent_at, instant now)
 {
     endpoint_state* endpoint = endpoint_of(*link);
     if (endpoint == nullptr)
         return;
+    route_load& load = route_loads_[route];
+    load.on_answer(static_cast<double>(now - sent_at), endpoint->backlogged_);
+    if (from_queue)
+        endpoint->pace_.on_answer(load.work_ms(), endpoint->backlogged_, now);
     // `busy_links` no longer counts the link of the answered statement, so one
     // is added.
     endpoint->window_.on_answer(static_cast<double>(now - sent_at),
--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -24,12 +24,15 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
+#include "coordination/admission_plan.h"
 #include "coordination/concurrency_window.h"
 #include "coordination/endpoint_choice.h"
 #include "coordination/freshness_marks.h"
+#include "coordination/load_estimates.h"
 #include "coordination/queue_order.h"
 #include "coordination/retry_budget.h"
 #include "coordination/takeover_trigger.h"
@@ -47,6 +50,11 @@
     std::optional<position_requirement> position_{};
     std::vector<std::string> excluded_{}; ///< endpoint ids
     queue_order order_{};
+    instant deadline_{}; ///< the end of the statement's timeout
+    std::string route_{};
+    /// Called instead of the grant handler if the statement cannot be served
+    /// in time. Not set: the request waits until it is granted or cancelled.
+    std::function<void(const refused_statement&)> refused_{};
     /// The statement takes no slot of the endpoint.
     bool takes_no_slot_ = false;
     /// If set, the idle connection whose values differ least is preferred.
@@ -146,8 +154,10 @@
 
     /// A write or a commit was sent on `link`.
     void on_write_sent(const link_ptr& link, instant now);
-    /// A statement that was sent at `sent_at` was answered.
-    void on_answered(const link_ptr& link, instant sent_at, instant now);
+    /// A statement of `route` that was sent at `sent_at` was answered.
+    /// `from_queue`: it had waited for the connection.
+    void on_answered(const link_ptr& link, const std::string& route,
+                     bool from_queue, instant sent_at, instant now);
     /// The endpoint refused a statement because it is busy.
     void on_busy(const link_ptr& link);
     /// The endpoint lacked the position of a read. `behind_ms`: how long this
@@ -212,6 +222,8 @@
         std::size_t links_ = 0; ///< open links, idle or not
         std::size_t opening_links_ = 0;
         concurrency_window window_{{}};
+        service_pace pace_;
+        bool backlogged_ = false; ///< requests wait that it may run
         instant avoided_until_ = never;
         instant full_until_ = never;
         instant no_surplus_until_ = never;
@@ -246,6 +258,14 @@
                                                    instant now) const;
     std::optional<std::size_t> choose(const link_request& request,
                                       bool idle_only, instant now) const;
+    /// The endpoints that may run the request, by index.
+    std::vector<std::size_t>
+    usable_endpoints(const link_request& request,
+                     std::span<const endpoint_candidate> candidates,
+                     instant now) const;
+    std::vector<std::size_t>
+    excluded_indexes(const link_request& request) const;
+    void refuse_unservable(instant now);
     bool may_open_link(const endpoint_state& endpoint, instant now) const;
     bool accepts_work(const endpoint_state& endpoint, instant now) const;
     void open_link(endpoint_state& endpoint);
@@ -270,6 +290,7 @@
     bool is_home_ = true;
     std::vector<std::unique_ptr<endpoint_state>> endpoints_;
     std::list<waiting_work> waiting_;
+    std::map<std::string, route_load> route_loads_; ///< by route name
     /// Links whose statement was abandoned; returned once it is answered.
     std::vector<timed_link> abandoned_links_;
     std::vector<timed_link> timed_links_; ///< closed unless answered in time
--- a/node/local_run.cc
+++ b/node/local_run.cc
@@ -118,6 +118,13 @@
         .order_ = {.priority_ = options_.route_.priority_,
                    .latest_start_ = latest_start(
                        options_.arrived_, options_.route_.target_latency_ms_)},
+        .deadline_ = options_.deadline(),
+        .route_ = options_.route_.name_,
+        .refused_ =
+            [self = shared_from_this()](const refused_statement& why)
+        {
+            self->on_unservable(why);
+        },
         .session_ = &options_.session_->values_};
     request_id_ = group_->request_link(
         std::move(request),
@@ -152,6 +159,19 @@
         send_statement();
 }
 
+void local_run::on_unservable(const refused_statement& why)
+{
+    request_id_ = 0;
+    if (phase_ != phase::waiting)
+        return;
+    bool too_late = why.longest_wait_ms_ < 0;
+    ++load().refused_[too_late ? "no_gap" : "expected_wait"];
+    on_failure(attempt_failure::timed_out, std::nullopt,
+               "overloaded: expected wait " +
+                   std::to_string(why.expected_wait_ms_) + " ms, limit " +
+                   std::to_string(why.longest_wait_ms_) + " ms");
+}
+
 void local_run::replay(const link_ptr& link)
 {
     const prepared_statement* shape =
@@ -251,7 +271,8 @@
                           got.error().detail_);
     if (got->error_)
         return on_failure(failure_of(*got->error_), *got, got->text_);
-    group_->on_answered(link_, sent_at_, monotonic_now());
+    group_->on_answered(link_, options_.route_.name_, !options_.transaction_,
+                        sent_at_, monotonic_now());
     succeed(*got);
 }
 
@@ -443,14 +464,10 @@
 {
     if (phase_ == phase::finished)
         return;
+    if (now >= options_.deadline() && request_id_ != 0)
+        ++load().refused_["timeout"];
     if (now >= options_.deadline())
         return on_failure(attempt_failure::timed_out, std::nullopt, "timeout");
-    bool waiting_for_link = phase_ == phase::waiting && request_id_ != 0;
-    if (waiting_for_link &&
-        should_shed(options_.arrived_, options_.route_.timeout_ms_,
-                    group_->last_granted(mode_ != mode::positioned_read), now))
-        return on_failure(attempt_failure::timed_out, std::nullopt,
-                          "overloaded: no connection in time");
     if (phase_ == phase::waiting && retry_at_ != never && now >= retry_at_)
         return next_attempt();
     bool unanswered = phase_ == phase::running && !options_.in_transaction() &&
--- a/node/local_run.h
+++ b/node/local_run.h
@@ -67,6 +67,7 @@
     void next_attempt();
     void on_granted(const link_ptr& link);
     statement begin_statement() const;
+    void on_unservable(const refused_statement& why);
     void replay(const link_ptr& link);
     void send_begin();
     void on_begin(const link_ptr& link, const result<reply>& got);
