End a takeover only after the row of its order is known

The primary crashed at 9.47 s; at 9.87 s the row of an order was being written when an endpoint joined, and the attempt ended at once. Its end was refused (another version), so the row kept an order that was never sent. At 17.55 s the next attempt found the returned primary with 24 more entries, made it step down and completed that order: nine acknowledged commits gone. Until then the replicas stayed paused.

Change: an attempt that ends while its row is written waits for the outcome of the write; the end then no longer names the order, and replicas are resumed. The end row has the term that the ordered endpoint reported.

--- a/coordination/group_walk_hosts_test.cc
+++ b/coordination/group_walk_hosts_test.cc
@@ -110,14 +110,16 @@
                                action.floor_, takeover::options{}.lease_ms_);
             break;
         case kind::record_end:
-            next_request.row_ = make_end_row(host.row_, action.endpoint_id_,
-                                             host.attempt_->pending_at(now_));
+            next_request.row_ =
+                make_end_row(host.row_, action.endpoint_id_,
+                             host.attempt_->pending_at(now_), action.term_);
             break;
         case kind::finish:
             add_trace(host.name_ + " ends: " + action.detail_ + " " +
                       action.endpoint_id_);
-            next_request.row_ = make_end_row(host.row_, action.endpoint_id_,
-                                             host.attempt_->pending_at(now_));
+            next_request.row_ =
+                make_end_row(host.row_, action.endpoint_id_,
+                             host.attempt_->pending_at(now_), action.term_);
             if (action.keep_row_)
                 next_request.action_.detail_ = "row stands";
             break;
--- a/coordination/promotion_choice_test.cc
+++ b/coordination/promotion_choice_test.cc
@@ -145,7 +145,7 @@
         // The next order replaces the earlier one.
         takeover_row fence = make_order_row(third, "a", 2, {}, lease);
         CPPUNIT_ASSERT(fence.floor_ == (log_position{1, 9}));
-        takeover_row end = make_end_row(fence, "a", {.resumed_ = {"b"}});
+        takeover_row end = make_end_row(fence, "a", {.resumed_ = {"b"}}, 0);
         CPPUNIT_ASSERT(!pending_commands_of(end, 0).ordered_);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                              pending_commands_of(end, 0).resumed_.size());
--- a/coordination/takeover.h
+++ b/coordination/takeover.h
@@ -111,6 +111,8 @@
     /// The endpoint to act on. For `record_end` and `finish` the primary, empty
     /// if unknown.
     std::string endpoint_id_{};
+    /// For `record_end` and `finish` the term in which the ordered endpoint was
+    /// seen as primary, 0 if it was not seen.
     std::uint64_t term_ = 0;
     std::string detail_{}; ///< the reason of the end
     log_position floor_{};
@@ -279,6 +281,7 @@
     std::uint64_t pause_term_ = 0;
     std::uint64_t newest_seen_term_ = 0; ///< the newest term in an answer
     bool order_accepted_ = false;
+    std::uint64_t promoted_term_ = 0; ///< reported by the ordered endpoint
     bool resume_after_promotion_ = false;
     instant phase_since_ = never;
     /// When the attempt determined which replicas to resume.
@@ -289,6 +292,8 @@
     bool order_in_flight_ = false;
     bool order_is_fence_ = false; ///< the order being recorded is a fence
     bool order_outcome_unknown_ = false; ///< an order may still take effect
+    /// The attempt ends once the outcome of `record_target` is known.
+    bool end_after_recording_ = false;
     std::string end_primary_;
     std::string end_reason_;
 };
--- a/coordination/takeover_end.cc
+++ b/coordination/takeover_end.cc
@@ -41,6 +41,16 @@
 takeover::actions takeover::finish(std::string primary, std::string reason,
                                    instant now)
 {
+    // A row that is written meanwhile would be refused, because the row of the
+    // order gives it another version. The row would then name an order that is
+    // never sent, and the next attempt would complete that order.
+    if (phase_ == phase::recording_target)
+    {
+        end_after_recording_ = true;
+        end_primary_ = std::move(primary);
+        end_reason_ = std::move(reason);
+        return {};
+    }
     // The promotion that this attempt ordered has ended the pauses itself.
     bool promoted = phase_ == phase::ordering && !primary.empty();
     if (!promoted || resume_after_promotion_)
@@ -58,6 +68,7 @@
     end_started_at_ = now;
     return {{.kind_ = kind::record_end,
              .endpoint_id_ = end_primary_,
+             .term_ = promoted_term_,
              .detail_ = end_reason_}};
 }
 
@@ -66,6 +77,7 @@
     phase_ = phase::finished;
     return {{.kind_ = kind::finish,
              .endpoint_id_ = end_primary_,
+             .term_ = promoted_term_,
              .detail_ = end_reason_,
              .keep_row_ = keep_row}};
 }
--- a/coordination/takeover_order.cc
+++ b/coordination/takeover_order.cc
@@ -130,6 +130,9 @@
 {
     if (phase_ != phase::recording_target)
         return {};
+    phase_ = phase::pausing;
+    if (end_after_recording_)
+        return finish(end_primary_, end_reason_, now);
     if (!recorded)
         return give_up("the takeover row could not be written", now);
     if (lease_expired(now))
@@ -238,6 +241,7 @@
     if (!is_primary)
         return {};
     order_accepted_ = true;
+    promoted_term_ = status.term_;
     // A promotion does not end pauses that name a later term than its own.
     // Those replicas must be resumed explicitly.
     resume_after_promotion_ = status.term_ < pause_term_;
--- a/coordination/takeover_row.cc
+++ b/coordination/takeover_row.cc
@@ -50,8 +50,12 @@
 }
 
 takeover_row make_end_row(const takeover_row& held, const std::string& primary,
-                          const pending_commands& pending)
+                          const pending_commands& pending,
+                          std::uint64_t promoted_term)
 {
+    // An order that was recorded and never sent makes the recorded term later
+    // than that of the promotion. No log would ever reach such a term.
+    std::uint64_t term = promoted_term == 0 ? held.term_ : promoted_term;
     return {.token_ = held.token_,
             .holder_ = held.holder_,
             .endpoint_ = primary,
@@ -59,7 +63,7 @@
             .ordered_ = pending.ordered_.value_or(""),
             .ordered_age_ms_ = pending.ordered_age_ms_,
             .floor_ = held.floor_,
-            .term_ = held.term_,
+            .term_ = term,
             .resumed_ = pending.resumed_,
             .resumed_age_ms_ = pending.resumed_age_ms_};
 }
--- a/coordination/takeover_row.h
+++ b/coordination/takeover_row.h
@@ -15,7 +15,8 @@
 //   - `resumed_`: replicas that a pending resume command may reach at any
 //     time. A confirmed pause of such a replica proves nothing.
 //   - `floor_`: the end of the last ordered endpoint's log, and `term_`: the
-//     term that its promotion starts. Neither is ever lowered.
+//     term that its promotion starts. Neither is ever lowered, except that the
+//     term becomes the one that the promoted endpoint reports.
 //
 // The clocks of hosts are not compared: a row stores ages at the time of
 // writing, and a reader adds the time since it received the row. The reader may
@@ -96,8 +97,11 @@
                             log_position floor, std::int64_t lease_ms);
 
 /// The row that ends an attempt. `primary` is the primary, empty if unknown.
+/// `promoted_term` is the term in which the ordered endpoint was seen as
+/// primary, 0 if it was not seen.
 takeover_row make_end_row(const takeover_row& held, const std::string& primary,
-                          const pending_commands& pending);
+                          const pending_commands& pending,
+                          std::uint64_t promoted_term);
 
 } // namespace tanagerspan
 
--- a/node/takeover_driver.cc
+++ b/node/takeover_driver.cc
@@ -329,7 +329,8 @@
         case kind::record_end:
             record(state,
                    make_end_row(state.row_, action.endpoint_id_,
-                                state.attempt_->pending_at(monotonic_now())),
+                                state.attempt_->pending_at(monotonic_now()),
+                                action.term_),
                    &takeover::on_end_recorded);
             break;
         case kind::order:
@@ -481,7 +482,7 @@
               {"took_ms", monotonic_now() - state.claimed_at_}});
     takeover_row row =
         make_end_row(state.row_, action.endpoint_id_,
-                     state.attempt_->pending_at(monotonic_now()));
+                     state.attempt_->pending_at(monotonic_now()), action.term_);
     // Destroys the attempt later: this function may be called while one of
     // the attempt's own functions is on the stack.
     boost::asio::post(loop_, [attempt = std::shared_ptr<takeover>(
