Keep the connections of every proxy within its share

Load: a service whose connections are all in use, and a new member or host that needs its first ones.

Change: the share is the limit; the surplus and its back-off are removed. connection_share_test fails without the change.

--- a/node/endpoint_group.cc
+++ b/node/endpoint_group.cc
@@ -45,8 +45,7 @@
     is_home_ = share > 0;
     share_ = std::max<std::size_t>(share, 1);
     for (auto& endpoint : endpoints_)
-        endpoint->window_.set_max(
-            static_cast<double>(share_ + options_.max_surplus_links_));
+        endpoint->window_.set_max(static_cast<double>(share_));
     for (auto& endpoint : endpoints_)
         endpoint->listed_ = false;
     for (const auto& entry : endpoints)
@@ -226,12 +225,10 @@
 bool endpoint_group::may_open_link(const endpoint_state& endpoint,
                                    instant now) const
 {
-    bool surplus = is_home_ && endpoint.no_surplus_until_ <= now;
-    std::size_t most = share_ + (surplus ? options_.max_surplus_links_ : 0);
     return accepts_work(endpoint, now) && endpoint.full_until_ <= now &&
            endpoint.opening_links_ < options_.max_opening_links_ &&
            endpoint.window_.has_room(busy_links(endpoint)) &&
-           endpoint.links_ + endpoint.opening_links_ < most;
+           endpoint.links_ + endpoint.opening_links_ < share_;
 }
 
 std::int64_t endpoint_group::busy_links(const endpoint_state& endpoint)
--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -82,21 +82,14 @@
         /// which the other hosts detect a crash, too.
         std::int64_t failure_backoff_ms_ = 500;
         /// No connection is opened for this long after an endpoint refused
-        /// one. Meanwhile other proxies close some of theirs.
+        /// one. Meanwhile other proxies close idle ones.
         std::int64_t full_backoff_ms_ = 300;
         /// Idle connections beyond half of the share are closed after this
         /// time. An endpoint detects only after seconds that a host lost
         /// power, and keeps the host's connections until then. With half of
         /// the connections unused, all hosts can connect again after a common
         /// power failure.
-        std::int64_t surplus_idle_ms_ = 3000;
-        /// For this long after an endpoint was full, the proxy keeps within
-        /// its share there: several times as long as other proxies take to
-        /// close their surplus connections.
-        std::int64_t no_surplus_ms_ = 10'000;
-        /// The limit of connections to an endpoint beyond the share. They are
-        /// opened only for waiting work.
-        std::size_t max_surplus_links_ = 2;
+        std::int64_t max_idle_ms_ = 3000;
         /// An endpoint gets no new work this long after its entry said that
         /// it is leaving: the shortest drain period of 7 s, less the longest
         /// interval between reads of the entries (`fleet_control`), less the
@@ -129,8 +122,9 @@
     endpoint_group(boost::asio::io_context& loop, options opts);
     ~endpoint_group();
 
-    /// `share` is the number of connections to one endpoint that this proxy
-    /// may always have. 0: this proxy is no home of the service and opens a
+    /// `share` is the limit of this proxy's connections to one endpoint. The
+    /// shares of all proxies together stay within the endpoint's limit, so
+    /// that a new endpoint accepts connections of every proxy. 0: this proxy is no home of the service and opens a
     /// connection only for waiting work.
     void set_endpoints(const endpoint_list& endpoints, std::size_t share,
                        instant now);
@@ -226,7 +220,6 @@
         bool backlogged_ = false; ///< requests wait that it may run
         instant avoided_until_ = never;
         instant full_until_ = never;
-        instant no_surplus_until_ = never;
         instant leaving_since_ = never;
         instant not_primary_until_ = never;
         double lag_ms_ = initial_lag_ms;
@@ -277,7 +270,7 @@
     {
         return is_home_ ? (share_ + 1) / 2 : 0;
     }
-    void close_surplus(endpoint_state& endpoint, instant now);
+    void close_idle(endpoint_state& endpoint, instant now);
     void update_primary_reachability(instant now);
     void close_late_links(instant now);
     void renew_mark(instant now);
--- a/node/endpoint_group_upkeep.cc
+++ b/node/endpoint_group_upkeep.cc
@@ -1,5 +1,5 @@
 // The maintenance of a group's connections: opening them, keeping the minimum
-// number open, closing surplus and timed-out ones, and renewing the freshness
+// number open, closing idle and timed-out ones, and renewing the freshness
 // mark.
 
 #include <algorithm>
@@ -92,8 +92,6 @@
     bool full = first && (first->error_ == reply_error::too_many_connections ||
                           first->error_ == reply_error::busy);
     endpoint->full_until_ = now + options_.full_backoff_ms_;
-    if (full)
-        endpoint->no_surplus_until_ = now + options_.no_surplus_ms_;
     if (!full)
     {
         endpoint->avoided_until_ = now + options_.failure_backoff_ms_;
@@ -108,16 +106,14 @@
     schedule_dispatch();
 }
 
-void endpoint_group::close_surplus(endpoint_state& endpoint, instant now)
+void endpoint_group::close_idle(endpoint_state& endpoint, instant now)
 {
-    bool contended = endpoint.no_surplus_until_ > now;
     while (endpoint.links_ > retained_links() && !endpoint.idle_.empty() &&
-           (contended || now - endpoint.idle_.front()->idle_since_ >
-                             options_.surplus_idle_ms_))
+           now - endpoint.idle_.front()->idle_since_ > options_.max_idle_ms_)
     {
         link_ptr link = endpoint.idle_.front();
         endpoint.idle_.erase(endpoint.idle_.begin());
-        link->close({error_code::lost, "surplus connection"});
+        link->close({error_code::lost, "idle connection"});
     }
 }
 
@@ -125,7 +121,7 @@
 {
     for (auto& endpoint : endpoints_)
     {
-        close_surplus(*endpoint, now);
+        close_idle(*endpoint, now);
         endpoint->lag_ms_ =
             std::max(endpoint->lag_ms_ * lag_decay_per_tick, min_lag_ms);
         std::size_t warm = std::min(options_.warm_links_, retained_links());
