Say when the age of the primary's last answer is not known

takeover_claim logged primary_answered_ms_ago when the primary had not answered this host yet; it is -1 now.

--- a/coordination/admission_plan_test.cc
+++ b/coordination/admission_plan_test.cc
@@ -251,6 +251,7 @@
                     starts.resize(8);
                 std::sort(starts.begin(), starts.end());
                 std::vector<waiting_statement> all;
+                all.reserve(starts.size());
                 for (std::uint8_t start : starts)
                     all.push_back(waiting(start, *rc::gen::inRange(1, 120)));
                 std::vector<std::optional<double>> paces{1.0};
@@ -354,9 +355,7 @@
     // A burst that ends before its statements miss their targets.
     void a_short_burst_is_served()
     {
-        std::vector<waiting_statement> burst;
-        for (int i = 0; i < 9; ++i)
-            burst.push_back(waiting(240, 24));
+        std::vector<waiting_statement> burst(9, waiting(240, 24));
         std::vector<std::optional<double>> paces{1.0};
         CPPUNIT_ASSERT(plan_refusals(burst, paces, plan_time).empty());
     }
--- a/node/endpoint_group.cc
+++ b/node/endpoint_group.cc
@@ -257,7 +257,7 @@
                                    const session_state* session)
 {
     // Among equal links, the most recently used one is taken. The others stay
-    // idle, so that surplus links reach their idle limit and are closed.
+    // idle, so that unneeded links reach their idle limit and are closed.
     auto best = std::prev(endpoint.idle_.end());
     for (auto candidate = endpoint.idle_.begin();
          session && candidate != endpoint.idle_.end(); ++candidate)
--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -124,8 +124,8 @@
 
     /// `share` is the limit of this proxy's connections to one endpoint. The
     /// shares of all proxies together stay within the endpoint's limit, so
-    /// that a new endpoint accepts connections of every proxy. 0: this proxy is no home of the service and opens a
-    /// connection only for waiting work.
+    /// that a new endpoint accepts connections of every proxy. 0: this proxy is
+    /// no home of the service and opens a connection only for waiting work.
     void set_endpoints(const endpoint_list& endpoints, std::size_t share,
                        instant now);
     void set_promotion(promotion_record record);
--- a/node/takeover_driver.cc
+++ b/node/takeover_driver.cc
@@ -196,19 +196,22 @@
     state.claim_ = row;
     state.claimed_at_ = now;
     state.claim_reason_ = reason;
-    log_line(log_level::info, "takeover_claim",
-             {{"service", state.name_},
-              {"reason", std::string(name_of(reason))},
-              {"primary", state.health_.endpoint_id_},
-              {"token", row.token_},
-              {"ordered_before", row.ordered_},
-              {"row_term", row.term_},
-              {"floor_term", row.floor_.term_},
-              {"floor_index", row.floor_.index_},
-              {"primary_answered_ms_ago", now - state.health_.last_answer_},
-              {"unanswered_ms", state.health_.unanswered_since_ == never
-                                    ? 0
-                                    : now - state.health_.unanswered_since_}});
+    log_line(
+        log_level::info, "takeover_claim",
+        {{"service", state.name_},
+         {"reason", std::string(name_of(reason))},
+         {"primary", state.health_.endpoint_id_},
+         {"token", row.token_},
+         {"ordered_before", row.ordered_},
+         {"row_term", row.term_},
+         {"floor_term", row.floor_.term_},
+         {"floor_index", row.floor_.index_},
+         {"primary_answered_ms_ago", state.health_.last_answer_ == never
+                                         ? -1
+                                         : now - state.health_.last_answer_},
+         {"unanswered_ms", state.health_.unanswered_since_ == never
+                               ? 0
+                               : now - state.health_.unanswered_since_}});
     write_row(state, row,
               [this, &state, token = row.token_](bool applied)
               {
--- a/node/traffic_server.cc
+++ b/node/traffic_server.cc
@@ -319,8 +319,9 @@
         for (const auto& [consistency, counts] :
              gateway->group()->load().totals())
         {
-            std::string labels = "{service=\"" + service + "\",consistency=\"" +
-                                 consistency + "\"";
+            std::string labels = "{service=\"";
+            labels.append(service).append("\",consistency=\"");
+            labels.append(consistency).append("\"");
             auto write = [&](std::string_view name, std::int64_t value)
             {
                 out << "tanager_" << name << "_total" << labels << "} " << value
