--- a/node/endpoint_group.cc
+++ b/node/endpoint_group.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/post.hpp>
-
 #include "transport/json_log.h"
 #include "transport/monotonic_clock.h"
 
@@ -253,142 +251,6 @@
     return nullptr;
 }
 
-link_ptr endpoint_group::take_idle(endpoint_state& endpoint,
-                                   const session_state* session)
-{
-    // Among equal links, the most recently used one is taken. The others stay
-    // idle, so that unneeded links reach their idle limit and are closed.
-    auto best = std::prev(endpoint.idle_.end());
-    for (auto candidate = endpoint.idle_.begin();
-         session && candidate != endpoint.idle_.end(); ++candidate)
-    {
-        if (replay_cost(*session, (*candidate)->values_) <=
-            replay_cost(*session, (*best)->values_))
-            best = candidate;
-    }
-    link_ptr link = *best;
-    endpoint.idle_.erase(best);
-    link->assigned_ = true;
-    return link;
-}
-
-endpoint_group::request_id endpoint_group::request_link(link_request request,
-                                                        grant_handler granted,
-                                                        instant now)
-{
-    request_id id = next_request_id_++;
-    waiting_.push_back({id, std::move(request), std::move(granted), now});
-    schedule_dispatch();
-    return id;
-}
-
-void endpoint_group::cancel_request(request_id id)
-{
-    std::erase_if(waiting_,
-                  [&](const waiting_work& one)
-                  {
-                      return one.request_id_ == id;
-                  });
-}
-
-void endpoint_group::schedule_dispatch()
-{
-    if (std::exchange(dispatch_scheduled_, true))
-        return;
-    boost::asio::post(loop_,
-                      [this, alive = std::weak_ptr<bool>(alive_)]
-                      {
-                          if (!alive.expired())
-                              dispatch();
-                      });
-}
-
-void endpoint_group::dispatch()
-{
-    dispatch_scheduled_ = false;
-    instant now = monotonic_now();
-    waiting_.sort(
-        [now](const waiting_work& one, const waiting_work& other)
-        {
-            return one.request_.order_.sort_key(now) <
-                   other.request_.order_.sort_key(now);
-        });
-    std::map<std::size_t, std::size_t> links_to_open;
-    std::vector<std::pair<grant_handler, link_ptr>> grants;
-    for (auto work = waiting_.begin(); work != waiting_.end();)
-    {
-        auto idle = choose(work->request_, true, now);
-        if (idle)
-        {
-            endpoint_state& endpoint = *endpoints_[*idle];
-            grants.emplace_back(std::move(work->granted_),
-                                take_idle(endpoint, work->request_.session_));
-            (work->request_.primary_ ? last_primary_grant_ : last_read_grant_) =
-                now;
-            if (work->request_.refused_)
-                route_loads_[work->request_.route_].on_decided(true);
-            work = waiting_.erase(work);
-            continue;
-        }
-        if (auto open = choose(work->request_, false, now))
-            ++links_to_open[*open];
-        ++work;
-    }
-    for (auto [index, count] : links_to_open)
-    {
-        endpoint_state& endpoint = *endpoints_[index];
-        while (endpoint.opening_links_ < count && may_open_link(endpoint, now))
-            open_link(endpoint);
-    }
-    for (auto& [granted, link] : grants)
-        granted(link);
-    refuse_unservable(now);
-}
-
-void endpoint_group::refuse_unservable(instant now)
-{
-    for (auto& endpoint : endpoints_)
-        endpoint->backlogged_ = false;
-    if (waiting_.empty())
-        return;
-    auto candidates = endpoint_loads({}, false, now);
-    std::vector<std::optional<double>> paces;
-    for (const auto& endpoint : endpoints_)
-        paces.push_back(endpoint->pace_.ms_per_work_ms(now));
-    std::vector<waiting_statement> statements;
-    std::vector<std::list<waiting_work>::iterator> works;
-    for (auto work = waiting_.begin(); work != waiting_.end(); ++work)
-    {
-        const link_request& request = work->request_;
-        if (!request.refused_)
-            continue;
-        const route_load& load = route_loads_[request.route_];
-        statements.push_back(
-            {.order_ = request.order_,
-             .deadline_ = request.deadline_,
-             .work_ms_ = load.work_ms(),
-             .served_share_ = load.served_share(),
-             .endpoints_ = usable_endpoints(request, candidates, now)});
-        works.push_back(work);
-        for (std::size_t index : statements.back().endpoints_)
-            endpoints_[index]->backlogged_ = true;
-    }
-    std::vector<std::function<void()>> refusals;
-    for (const auto& refused : plan_refusals(statements, paces, now))
-    {
-        auto work = works[refused.index_];
-        route_loads_[work->request_.route_].on_decided(false);
-        refusals.push_back(
-            [handler = std::move(work->request_.refused_), refused]
-            {
-                handler(refused);
-            });
-        waiting_.erase(work);
-    }
-    for (const auto& refuse : refusals)
-        refuse();
-}
-
 void endpoint_group::release(const link_ptr& link, bool usable, instant now)
 {
     // A connection with an open transaction is never granted to other work.
@@ -448,7 +310,7 @@
     endpoint_state* endpoint = endpoint_of(*link);
     if (endpoint == nullptr)
         return;
-    route_load& load = route_loads_[route];
+    route_load& load = load_of(route);
     load.on_answer(static_cast<double>(now - sent_at), endpoint->backlogged_);
     if (from_queue)
         endpoint->pace_.on_answer(load.work_ms(), endpoint->backlogged_, now);
--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -259,6 +259,8 @@
     std::vector<std::size_t>
     excluded_indexes(const link_request& request) const;
     void refuse_unservable(instant now);
+    /// The reference is valid until the next call.
+    route_load& load_of(const std::string& route);
     bool may_open_link(const endpoint_state& endpoint, instant now) const;
     bool accepts_work(const endpoint_state& endpoint, instant now) const;
     void open_link(endpoint_state& endpoint);
