--- a/coordination/admission_plan_test.cc
+++ b/coordination/admission_plan_test.cc
@@ -232,6 +232,7 @@
     CPPUNIT_TEST(nothing_is_refused_without_a_pace);
     CPPUNIT_TEST(late_statements_wait_for_a_gap);
     CPPUNIT_TEST(lagging_replicas_leave_one_endpoint_for_all_reads);
+    CPPUNIT_TEST(overload_by_one_route_is_served_in_time);
     CPPUNIT_TEST(an_even_load_is_not_refused);
     CPPUNIT_TEST(a_short_burst_is_served);
     CPPUNIT_TEST(nothing_is_refused_while_nothing_is_served);
@@ -336,6 +337,17 @@
         }
     }
 
+    // For ten seconds, work of one kind arrives at one and a half times the
+    // rate that a single slot can do.
+    void overload_by_one_route_is_served_in_time()
+    {
+        auto result =
+            simulated_service({.routes_ = {{1, 250, 18, 83}}, .slots_ = 1})
+                .run()[0];
+        CPPUNIT_ASSERT(result.in_time_ > 500);
+        CPPUNIT_ASSERT(result.late_ < 10);
+    }
+
     void an_even_load_is_not_refused()
     {
         for (double per_s : {20.0, 60.0, 90.0})
