--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -5,10 +5,13 @@
 // the requests that wait for a connection, and the freshness marks of the log.
 //
 // A request for a connection is granted as soon as a suitable one is idle;
-// until then it waits, ordered by priority, then by arrival. A connection has
-// one owner at a time: the work to which it was granted, or the group. Work
-// that stops before its answer arrived abandons the connection to the group,
-// which grants it again only after the answer, or closes it.
+// until then it waits, in the order of coordination/queue_order.h, and is
+// refused if it cannot be served in time (coordination/admission_plan.h). This
+// part is in endpoint_group_queue.cc.
+//
+// A connection has one owner at a time: the work to which it was granted, or
+// the group. Work that stops before its answer arrived abandons the connection
+// to the group, which grants it again only after the answer, or closes it.
 //
 // An endpoint counts as primary by a claim: its own entry in the store or the
 // record of its promotion. The claim stored last takes precedence. After an
