Logs and metrics say how old the copy of a table is

Three hypotheses were not to be told apart: a watch that is never answered, a growing delay between watches, and an answer that is ignored. A change of a table is now logged with the delay until the next watch, a lost and regained table with the time its call was under way, ignored settings with both versions. The metrics page has the age of the last answer and the version, by table; only it can show a call under way.

--- a/daemons/tanager_edge_main.cc
+++ b/daemons/tanager_edge_main.cc
@@ -126,7 +126,7 @@
             return {ready ? 200 : 503, ready ? "ready\n" : "not ready\n"};
         }
         if (target == "/metrics")
-            return {200, traffic_server_.metrics()};
+            return {200, traffic_server_.metrics() + fleet_control_.metrics()};
         return {404, "not found\n"};
     }
 
--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -1,6 +1,7 @@
 #include "node/fleet_control.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 #include "transport/json_log.h"
@@ -90,6 +91,23 @@
     takeovers_.on_health(service, health);
 }
 
+std::string fleet_control::metrics() const
+{
+    std::ostringstream out;
+    instant now = monotonic_now();
+    for (const table_feed* feed : {&settings_, &endpoints_, &takeover_rows_})
+    {
+        std::string label = "{table=\"" + feed->table() + "\"} ";
+        instant answered = feed->answered_at();
+        if (answered != never)
+            out << "tanager_store_answer_age_ms" << label << now - answered
+                << '\n';
+        out << "tanager_store_table_version" << label << feed->version()
+            << '\n';
+    }
+    return out.str();
+}
+
 void fleet_control::leave(std::function<void()> done)
 {
     hosts_.leave(std::move(done));
@@ -108,7 +126,12 @@
         return;
     }
     if (routes_ && table->version_ <= routes_->version_)
+    {
+        log_line(log_level::info, "settings_ignored",
+                 {{"version", table->version_},
+                  {"version_in_force", routes_->version_}});
         return;
+    }
     bool first = !routes_;
     routes_ = std::make_shared<const route_table>(std::move(*table));
     outputs_.routes_(routes_);
--- a/node/fleet_control.h
+++ b/node/fleet_control.h
@@ -10,7 +10,8 @@
 // home plan and the promoted endpoints. Settings with a version lower than one
 // already published are ignored, even if the store returns them.
 //
-// Control thread only; the handlers in `outputs` are called on it.
+// Control thread only, except `metrics`; the handlers in `outputs` are called
+// on it.
 
 #include <cstdint>
 #include <functional>
@@ -75,6 +76,10 @@
     /// host is removed or the store call has failed.
     void leave(std::function<void()> done);
 
+    /// The age of the last answer for each watched table and the version up to
+    /// which it was read, as text lines for the metrics page. Any thread.
+    std::string metrics() const;
+
     /// Longest delay before a change of an endpoint entry is read.
     static constexpr std::int64_t max_entry_delay_ms = 2000;
 
--- a/node/table_feed.cc
+++ b/node/table_feed.cc
@@ -36,18 +36,32 @@
     list();
 }
 
-void table_feed::on_connected()
+std::int64_t table_feed::since_last_answer() const
+{
+    constexpr std::int64_t unknown = -1;
+    instant last = answered_at_;
+    return last == never ? unknown : monotonic_now() - last;
+}
+
+void table_feed::on_answer()
 {
     backoff_ms_ = options_.initial_backoff_ms_;
-    if (std::exchange(connected_, true))
-        return;
-    connected_since_ = monotonic_now();
-    log_line(log_level::info, "store_regained",
-             {{"table", options_.table_}, {"version", version_}});
+    if (!std::exchange(connected_, true))
+    {
+        connected_since_ = monotonic_now();
+        log_line(log_level::info, "store_regained",
+                 {{"table", options_.table_},
+                  {"version", version()},
+                  {"failed_calls", failed_calls_},
+                  {"since_last_answer_ms", since_last_answer()}});
+    }
+    failed_calls_ = 0;
+    answered_at_ = monotonic_now();
 }
 
 void table_feed::list()
 {
+    call_sent_at_ = monotonic_now();
     store_.list(options_.table_,
                 [this, alive = std::weak_ptr<bool>(alive_)](
                     result<table_snapshot> answer)
@@ -56,7 +70,7 @@
                         return;
                     if (!answer)
                         return on_failure(answer.error());
-                    on_connected();
+                    on_answer();
                     listed_ = true;
                     version_ = answer->version_;
                     rows_.clear();
@@ -69,7 +83,7 @@
 
 void table_feed::watch(std::int64_t wait_ms)
 {
-    watch_sent_at_ = monotonic_now();
+    call_sent_at_ = monotonic_now();
     store_.watch(options_.table_, version_, wait_ms,
                  [this, alive = std::weak_ptr<bool>(alive_)](
                      result<table_snapshot> answer)
@@ -78,8 +92,10 @@
                          return;
                      if (!answer)
                          return on_failure(answer.error());
-                     on_connected();
-                     version_ = std::max(version_, answer->version_);
+                     std::int64_t silent_ms = since_last_answer();
+                     on_answer();
+                     version_ = std::max(version(), answer->version_);
+                     std::size_t changes = answer->rows_.size();
                      for (auto& row : answer->rows_)
                      {
                          if (row.removed_)
@@ -87,25 +103,39 @@
                          else
                              rows_[row.key_] = std::move(row);
                      }
-                     if (answer->rows_.empty())
+                     if (changes == 0)
                          return watch(options_.long_poll_ms_);
+                     std::int64_t delay_ms = delay_after_change();
+                     log_line(log_level::info, "table_changed",
+                              {{"table", options_.table_},
+                               {"version", version()},
+                               {"rows", changes},
+                               {"since_last_answer_ms", silent_ms},
+                               {"next_watch_in_ms", delay_ms}});
                      changed_(rows_);
-                     watch_after_delay();
+                     watch_after(delay_ms);
                  });
 }
 
-void table_feed::watch_after_delay()
+std::int64_t table_feed::delay_after_change()
 {
     if (options_.initial_delay_ms_ <= 0)
-        return watch(options_.long_poll_ms_);
+        return 0;
     // Each call has a cost, for every host that watches the table. A change
     // after a quiet period is therefore followed by the initial delay only.
-    bool in_series = monotonic_now() - watch_sent_at_ < next_delay_ms_;
+    bool in_series = monotonic_now() - call_sent_at_ < next_delay_ms_;
     std::int64_t delay =
         in_series ? next_delay_ms_ : options_.initial_delay_ms_;
     next_delay_ms_ = std::clamp(delay * 2, options_.initial_delay_ms_,
                                 options_.max_delay_ms_);
-    timer_.expires_after(std::chrono::milliseconds(delay));
+    return delay;
+}
+
+void table_feed::watch_after(std::int64_t delay_ms)
+{
+    if (delay_ms <= 0)
+        return watch(options_.long_poll_ms_);
+    timer_.expires_after(std::chrono::milliseconds(delay_ms));
     timer_.async_wait(
         [this, alive = std::weak_ptr<bool>(alive_)](io_error cancelled)
         {
@@ -116,12 +146,16 @@
 
 void table_feed::on_failure(const failure& cause)
 {
+    ++failed_calls_;
     bool relist = cause.code_ == error_code::compacted || !listed_;
     if (std::exchange(connected_, false) || relist)
         log_line(log_level::info, "store_lost",
                  {{"table", options_.table_},
                   {"failure", std::string(name_of(cause.code_))},
-                  {"detail", cause.detail_}});
+                  {"detail", cause.detail_},
+                  {"version", version()},
+                  {"waited_ms", monotonic_now() - call_sent_at_},
+                  {"since_last_answer_ms", since_last_answer()}});
     if (cause.code_ == error_code::compacted)
         return list();
     std::uniform_int_distribution<std::int64_t> jitter(backoff_ms_ / 2,
--- a/node/table_feed.h
+++ b/node/table_feed.h
@@ -11,8 +11,9 @@
 // immediate answer: with a long poll, a request that the store never received
 // is noticed only much later.
 //
-// Control thread only.
+// Control thread only, except where a function says otherwise.
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -72,6 +73,21 @@
     {
         return connected_since_;
     }
+    /// Name of the table. Any thread.
+    const std::string& table() const
+    {
+        return options_.table_;
+    }
+    /// Time of the last answer. Any thread.
+    instant answered_at() const
+    {
+        return answered_at_;
+    }
+    /// The version up to which the table was read. Any thread.
+    std::int64_t version() const
+    {
+        return version_;
+    }
     /// The local copy: rows by key.
     const std::map<std::string, table_row>& rows() const
     {
@@ -81,9 +97,11 @@
 private:
     void list();
     void watch(std::int64_t wait_ms);
-    void watch_after_delay();
+    void watch_after(std::int64_t delay_ms);
     void on_failure(const failure& cause);
-    void on_connected();
+    void on_answer();
+    std::int64_t since_last_answer() const;
+    std::int64_t delay_after_change();
 
     boost::asio::io_context& loop_;
     table_store& store_;
@@ -92,10 +110,12 @@
     boost::asio::steady_timer timer_;
     std::minstd_rand random_;
     std::map<std::string, table_row> rows_;
-    std::int64_t version_ = 0;
+    std::atomic<std::int64_t> version_ = 0;
+    std::atomic<instant> answered_at_ = never;
     std::int64_t backoff_ms_;
     std::int64_t next_delay_ms_;
-    instant watch_sent_at_ = never; ///< when the last watch was sent
+    instant call_sent_at_ = never;  ///< when the last call was sent
+    std::int64_t failed_calls_ = 0; ///< since the last answer
     bool listed_ = false;
     bool connected_ = false;
     instant connected_since_ = never;
