Bound the wait of settings watches by the time allowed for a change

Cause: a store that is silent takes a watch and never answers it. Its connection lives and TCP acknowledges every probe, so that only the timeout shows it: 28 s of waiting and 1.5 s. Class of fault: liveness of a call that may wait long was left to the transport.

A host whose watch was sent before the silence went on.

Change: the next answer of a feed is due after a fixed interval, of which the delay before a watch is a part. For the settings it is the time that the platform's settings file allows for a change, less 1.5 s for the answer and 0.5 s for the next call. A lost watch is thus noticed in time, whatever lost it. Weighed: a second call beside each watch that proves the store alive (still misses a silence that begins between the two, and a packet sent again), waits that grow while nothing happens (no bound), news from other hosts (all of them lose the watch together).

The price is a call each 1 s and host where 3 s are allowed, each 3 s where 5 s are.

--- a/daemons/tanager_edge_main.cc
+++ b/daemons/tanager_edge_main.cc
@@ -80,6 +80,7 @@
         return {.own_ = {settings_.host_name_, settings_.data_centre_,
                          settings_.peers_address()},
                 .format_ = platform::catalogue(),
+                .settings_bound_ms_ = settings_.settings_bound_ms_,
                 .codec_ = &codec_};
     }
 
--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -23,14 +23,17 @@
 constexpr std::int64_t max_settings_delay_ms = 800;
 constexpr std::int64_t entry_delay_ms = 500;
 
-table_feed::options feed_options(const std::string& table, std::uint64_t seed,
-                                 std::int64_t initial_delay_ms,
-                                 std::int64_t max_delay_ms)
+// After a lost watch, the next call is answered within this time by a store
+// that is a hundred times slower than usual.
+constexpr std::int64_t recovery_ms = 500;
+
+/// The interval at which a feed that may lose a watch still reads a change
+/// within `bound_ms`.
+constexpr std::int64_t answer_interval(std::int64_t bound_ms)
 {
-    return {.table_ = table,
-            .initial_delay_ms_ = initial_delay_ms,
-            .max_delay_ms_ = max_delay_ms,
-            .seed_ = seed};
+    constexpr std::int64_t shortest_ms = 200;
+    return std::max(shortest_ms,
+                    bound_ms - table_store::answer_margin_ms - recovery_ms);
 }
 
 } // namespace
@@ -39,16 +42,22 @@
                              promotion_service& promotions, options opts,
                              outputs handlers)
     : options_(std::move(opts)), outputs_(std::move(handlers)),
-      settings_(loop, store,
-                feed_options(options_.format_.settings_table_, options_.seed_,
-                             settings_delay_ms, max_settings_delay_ms),
-                [this](const rows& current)
-                {
-                    on_settings(current);
-                }),
+      settings_(
+          loop, store,
+          {.table_ = options_.format_.settings_table_,
+           .answer_interval_ms_ = answer_interval(options_.settings_bound_ms_),
+           .initial_delay_ms_ = settings_delay_ms,
+           .max_delay_ms_ = max_settings_delay_ms,
+           .seed_ = options_.seed_},
+          [this](const rows& current)
+          {
+              on_settings(current);
+          }),
       endpoints_(loop, store,
-                 feed_options(options_.format_.endpoints_table_, options_.seed_,
-                              entry_delay_ms, max_entry_delay_ms),
+                 {.table_ = options_.format_.endpoints_table_,
+                  .initial_delay_ms_ = entry_delay_ms,
+                  .max_delay_ms_ = max_entry_delay_ms,
+                  .seed_ = options_.seed_},
                  [this](const rows& current)
                  {
                      on_endpoints(current);
@@ -59,7 +68,7 @@
                  on_hosts(live);
              }),
       takeover_rows_(loop, store,
-                     feed_options(promotions_table, options_.seed_, 0, 0),
+                     {.table_ = promotions_table, .seed_ = options_.seed_},
                      [this](const rows& current)
                      {
                          on_takeover_rows(current);
--- a/node/fleet_control.h
+++ b/node/fleet_control.h
@@ -45,6 +45,9 @@
         /// expire while the store is unavailable and are written again within
         /// about two seconds.
         std::int64_t keep_missing_entry_ms_ = 2500;
+        /// A confirmed change of the settings takes effect within this time,
+        /// if the store answers.
+        std::int64_t settings_bound_ms_ = 3000;
         const session_codec* codec_ = nullptr;
         std::uint64_t seed_ = 1; ///< for the jitter of retries
     };
--- a/node/table_feed.cc
+++ b/node/table_feed.cc
@@ -77,10 +77,16 @@
                     for (auto& row : answer->rows_)
                         rows_[row.key_] = std::move(row);
                     changed_(rows_);
-                    watch(options_.long_poll_ms_);
+                    watch_for_changes();
                 });
 }
 
+void table_feed::watch_for_changes()
+{
+    watch(std::max(no_wait_ms,
+                   options_.answer_interval_ms_ - since_last_answer()));
+}
+
 void table_feed::watch(std::int64_t wait_ms)
 {
     call_sent_at_ = monotonic_now();
@@ -104,7 +110,7 @@
                              rows_[row.key_] = std::move(row);
                      }
                      if (changes == 0)
-                         return watch(options_.long_poll_ms_);
+                         return watch_for_changes();
                      std::int64_t delay_ms = delay_after_change();
                      log_line(log_level::info, "table_changed",
                               {{"table", options_.table_},
@@ -134,13 +140,13 @@
 void table_feed::watch_after(std::int64_t delay_ms)
 {
     if (delay_ms <= 0)
-        return watch(options_.long_poll_ms_);
+        return watch_for_changes();
     timer_.expires_after(std::chrono::milliseconds(delay_ms));
     timer_.async_wait(
         [this, alive = std::weak_ptr<bool>(alive_)](io_error cancelled)
         {
             if (!cancelled && !alive.expired())
-                watch(options_.long_poll_ms_);
+                watch_for_changes();
         });
 }
 
--- a/node/table_feed.h
+++ b/node/table_feed.h
@@ -8,8 +8,13 @@
 // the table is listed again, and rows missing from the new list count as
 // removed. While calls fail the copy is kept unchanged, and calls are retried
 // with exponential backoff. The first watch after a failure asks for an
-// immediate answer: with a long poll, a request that the store never received
-// is noticed only much later.
+// immediate answer.
+//
+// A store may accept a watch and never answer it while the connection lives.
+// Nothing but its timeout shows that, so the wait time of watches bounds the
+// age of the copy: a change is read at most `answer_interval_ms_` plus
+// `table_store::answer_margin_ms` after the last answer, if the store answers
+// the next call.
 //
 // Control thread only, except where a function says otherwise.
 
@@ -37,9 +42,9 @@
     struct options
     {
         std::string table_;
-        /// How long the store may delay its answer while nothing changes. A
-        /// dead connection is detected by TCP keep-alive, not by this value.
-        std::int64_t long_poll_ms_ = 28'000;
+        /// Longest time from one answer to the next while nothing changes.
+        /// Each answer costs a call, on every host.
+        std::int64_t answer_interval_ms_ = 28'000;
         /// Delay between an answer with changes and the next watch. In a
         /// series of changes the delay doubles each time, up to
         /// `max_delay_ms_`. 0: no delay.
@@ -97,6 +102,8 @@
 private:
     void list();
     void watch(std::int64_t wait_ms);
+    /// Watches until the next answer is due.
+    void watch_for_changes();
     void watch_after(std::int64_t delay_ms);
     void on_failure(const failure& cause);
     void on_answer();
--- a/node/table_feed_test.cc
+++ b/node/table_feed_test.cc
@@ -1,5 +1,6 @@
 // Tests of table_feed against an in-memory store with failures.
 
+#include <algorithm>
 #include <chrono>
 #include <thread>
 #include <vector>
@@ -61,6 +62,7 @@
     CPPUNIT_TEST(first_watch_after_failure_does_not_wait);
     CPPUNIT_TEST(compaction_causes_a_new_list);
     CPPUNIT_TEST(series_of_changes_is_batched);
+    CPPUNIT_TEST(every_watch_ends_when_the_next_answer_is_due);
     CPPUNIT_TEST(leave_is_read_before_the_endpoint_stops);
     CPPUNIT_TEST_SUITE_END();
 
@@ -174,6 +176,37 @@
         CPPUNIT_ASSERT(monotonic_now() - answered < 4 * initial_delay);
     }
 
+    // A lost watch is noticed only when its wait has passed. The wait must
+    // therefore include the delay that preceded the watch.
+    void every_watch_ends_when_the_next_answer_is_due()
+    {
+        constexpr std::int64_t interval = 100;
+        for (std::int64_t delay : {0, 30, 90, 150})
+        {
+            feed_ = std::make_unique<table_feed>(
+                loop_, store_,
+                table_feed::options{.table_ = "t",
+                                    .answer_interval_ms_ = interval,
+                                    .initial_delay_ms_ = delay,
+                                    .max_delay_ms_ = delay},
+                [](const std::map<std::string, table_row>&) {});
+            feed_->start();
+            manual_store::answer(store_.lists_, table_snapshot{.version_ = 5});
+            CPPUNIT_ASSERT(store_.watches_.back().wait_ms_ <= interval);
+            std::size_t calls_before = store_.watches_.size();
+            manual_store::answer(
+                store_.watches_,
+                table_snapshot{.rows_ = {row("a")}, .version_ = 6});
+            wait_for_watch(calls_before + 1);
+            std::int64_t wait_ms = store_.watches_.back().wait_ms_;
+            constexpr std::int64_t clock_tick_ms = 1;
+            CPPUNIT_ASSERT(
+                wait_ms <=
+                std::max(std::int64_t{0}, interval - delay + clock_tick_ms));
+            CPPUNIT_ASSERT(wait_ms >= 0);
+        }
+    }
+
     // Regression: with longer delays, a leaving primary without a successor was
     // still used 7.5 s after it had announced its leave.
     void leave_is_read_before_the_endpoint_stops()
--- a/protocol/table_store.h
+++ b/protocol/table_store.h
@@ -74,6 +74,11 @@
 
     virtual ~table_store() = default;
 
+    /// A call without an answer fails after this time, a watch after its
+    /// `wait_ms` and this time. More than a hundred times the store's usual
+    /// response time; a later answer would be too late for any decision.
+    static constexpr std::int64_t answer_margin_ms = 1500;
+
     /// Reads all rows of a table. Errors: not_sent, lost, unavailable,
     /// over_rate.
     virtual void list(const std::string& table, snapshot_handler done) = 0;
