Bound the wait of watches of endpoint entries and takeover rows

All other calls to the store and orders end after 1.5 s or less.

Change: entries are read within the drain period, takeover rows within the 20 s of a change of primary. A leave that was read after failed calls counts from the answer before them, so that the endpoint isn't used longer than otherwise.

Tests first: leave_is_read_in_time_after_a_lost_watch and takeover_is_read_in_time_after_a_lost_watch failed with intervals of 28 s (68 passed, 2 failed), pass now (70).

--- a/daemons/tanager_edge_main.cc
+++ b/daemons/tanager_edge_main.cc
@@ -81,6 +81,7 @@
                          settings_.peers_address()},
                 .format_ = platform::catalogue(),
                 .settings_bound_ms_ = settings_.settings_bound_ms_,
+                .drain_ms_ = settings_.drain_ms_,
                 .codec_ = &codec_};
     }
 
--- a/node/endpoint_group.cc
+++ b/node/endpoint_group.cc
@@ -66,7 +66,7 @@
         if (!entry.leaving_)
             (*same)->leaving_since_ = never;
         else if ((*same)->leaving_since_ == never)
-            (*same)->leaving_since_ = now;
+            (*same)->leaving_since_ = now - entry.read_late_ms_;
         (*same)->entry_ = entry;
         (*same)->listed_ = true;
     }
--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -55,6 +55,7 @@
           }),
       endpoints_(loop, store,
                  {.table_ = options_.format_.endpoints_table_,
+                  .answer_interval_ms_ = answer_interval(options_.drain_ms_),
                   .initial_delay_ms_ = entry_delay_ms,
                   .max_delay_ms_ = max_entry_delay_ms,
                   .seed_ = options_.seed_},
@@ -67,12 +68,15 @@
              {
                  on_hosts(live);
              }),
-      takeover_rows_(loop, store,
-                     {.table_ = promotions_table, .seed_ = options_.seed_},
-                     [this](const rows& current)
-                     {
-                         on_takeover_rows(current);
-                     }),
+      takeover_rows_(
+          loop, store,
+          {.table_ = promotions_table,
+           .answer_interval_ms_ = answer_interval(options_.takeover_bound_ms_),
+           .seed_ = options_.seed_},
+          [this](const rows& current)
+          {
+              on_takeover_rows(current);
+          }),
       takeovers_(loop, store, promotions,
                  {.host_name_ = options_.own_.name_,
                   .table_ = promotions_table,
@@ -195,6 +199,7 @@
         return false;
     }
     rejected_versions_.erase(id);
+    entry->read_late_ms_ = endpoints_.read_late_ms();
     entries_[id] = std::move(*entry);
     return true;
 }
--- a/node/fleet_control.h
+++ b/node/fleet_control.h
@@ -48,6 +48,11 @@
         /// A confirmed change of the settings takes effect within this time,
         /// if the store answers.
         std::int64_t settings_bound_ms_ = 3000;
+        /// An endpoint stays at least this long after its leave.
+        std::int64_t drain_ms_ = 7000;
+        /// A change of primary is over within this time. A host that lost a
+        /// watch of the takeover rows takes part again by then.
+        std::int64_t takeover_bound_ms_ = 20'000;
         const session_codec* codec_ = nullptr;
         std::uint64_t seed_ = 1; ///< for the jitter of retries
     };
--- a/node/fleet_control_test.cc
+++ b/node/fleet_control_test.cc
@@ -14,6 +14,10 @@
 {
 
 constexpr std::int64_t settings_bound_ms = 3000;
+// Shorter than in use, to shorten the tests.
+constexpr std::int64_t drain_ms = 3000;
+constexpr std::int64_t takeover_bound_ms = 3000;
+constexpr std::int64_t quick_ms = 500;
 
 struct no_promotions final : promotion_service
 {
@@ -28,12 +32,13 @@
     return route_table{.version_ = std::stoll(std::string(text))};
 }
 
-result<endpoint_entry> parse_address(std::string_view id, std::string_view text,
-                                     std::int64_t row_version)
+/// Entries are "ready" or "leaving".
+result<endpoint_entry> parse_state(std::string_view id, std::string_view text,
+                                   std::int64_t row_version)
 {
     return endpoint_entry{.id_ = std::string(id),
                           .service_ = "orders",
-                          .address_ = std::string(text),
+                          .leaving_ = text == "leaving",
                           .row_version_ = row_version};
 }
 
@@ -41,12 +46,16 @@
 {
     CPPUNIT_TEST_SUITE(fleet_control_test);
     CPPUNIT_TEST(settings_are_applied_in_time_after_a_lost_watch);
+    CPPUNIT_TEST(leave_is_read_in_time_after_a_lost_watch);
+    CPPUNIT_TEST(takeover_is_read_in_time_after_a_lost_watch);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context loop_{1};
     watched_store store_{loop_};
     no_promotions promotions_;
     std::int64_t applied_version_ = 0;
+    endpoint_list endpoints_;
+    std::string promoted_;
     std::unique_ptr<fleet_control> control_;
 
 public:
@@ -54,23 +63,32 @@
     {
         control_ = std::make_unique<fleet_control>(
             loop_, store_, promotions_,
-            fleet_control::options{
-                .own_ = {"host-1", "dc-1", "10.0.0.1:7000"},
-                .format_ = {.settings_table_ = "settings",
-                            .settings_key_ = "all",
-                            .endpoints_table_ = "endpoints",
-                            .parse_routes_ = parse_version,
-                            .parse_endpoint_ = parse_address}},
-            fleet_control::outputs{.routes_ =
-                                       [this](const route_table_ptr& routes)
-                                   {
-                                       applied_version_ = routes->version_;
-                                   },
-                                   .endpoints_ = [](const endpoint_list_ptr&,
-                                                    const home_plan_ptr&) {},
-                                   .promoted_ = [](const std::string&,
-                                                   const std::string&,
-                                                   std::int64_t) {}});
+            fleet_control::options{.own_ = {"host-1", "dc-1", "10.0.0.1:7000"},
+                                   .format_ = {.settings_table_ = "settings",
+                                               .settings_key_ = "all",
+                                               .endpoints_table_ = "endpoints",
+                                               .parse_routes_ = parse_version,
+                                               .parse_endpoint_ = parse_state},
+                                   .drain_ms_ = drain_ms,
+                                   .takeover_bound_ms_ = takeover_bound_ms},
+            fleet_control::outputs{
+                .routes_ =
+                    [this](const route_table_ptr& routes)
+                {
+                    applied_version_ = routes->version_;
+                },
+                .endpoints_ =
+                    [this](const endpoint_list_ptr& endpoints,
+                           const home_plan_ptr&)
+                {
+                    endpoints_ = *endpoints;
+                },
+                .promoted_ =
+                    [this](const std::string&, const std::string& primary,
+                           std::int64_t)
+                {
+                    promoted_ = primary;
+                }});
     }
 
 private:
@@ -80,33 +98,96 @@
         loop_.run_for(std::chrono::milliseconds(duration_ms));
     }
 
-    /// Runs until the settings of `version` are applied. Returns the time that
-    /// it took, or `limit_ms` if they were not applied by then.
-    std::int64_t time_until_applied(std::int64_t version, std::int64_t limit_ms)
+    /// Runs until `reached`, at most for `limit_ms`.
+    template <class Condition>
+    void assert_within(std::int64_t limit_ms, Condition reached)
     {
-        instant start = monotonic_now();
-        while (applied_version_ != version &&
-               monotonic_now() - start < limit_ms)
+        instant end = monotonic_now() + limit_ms;
+        while (!reached() && monotonic_now() <= end)
             run_for(5);
-        return monotonic_now() - start;
+        CPPUNIT_ASSERT(reached());
     }
 
-    // Regression: a watch that the store never answered left changes of the
-    // settings unread until the watch timed out, 29.5 s after it was sent.
-    void settings_are_applied_in_time_after_a_lost_watch()
+    void assert_applied(std::int64_t version, std::int64_t limit_ms)
+    {
+        assert_within(limit_ms,
+                      [&]
+                      {
+                          return applied_version_ == version;
+                      });
+    }
+
+    void assert_promoted(const std::string& id, std::int64_t limit_ms)
     {
+        assert_within(limit_ms,
+                      [&]
+                      {
+                          return promoted_ == id;
+                      });
+    }
+
+    /// Starts with one endpoint and one change of each table, after which the
+    /// next watch is lost.
+    void lose_watches_after_changes()
+    {
+        constexpr std::int64_t longest_delay_ms = 500;
         store_.put("settings", "all", "1");
+        store_.put("endpoints", "e-1", "ready");
         control_->start();
-        CPPUNIT_ASSERT(time_until_applied(1, 500) < 500);
+        assert_applied(1, quick_ms);
         store_.put("settings", "all", "2");
-        CPPUNIT_ASSERT(time_until_applied(2, 500) < 500);
-        // The next watch is sent 100 ms after the change.
+        store_.put("endpoints", "e-1", "ready");
+        store_.put(fleet_control::promotions_table, "orders",
+                   done_row(1, "e-1"));
         store_.set_silent(true);
-        run_for(200);
+        run_for(longest_delay_ms + 100);
+        assert_applied(2, 0);
+        assert_promoted("e-1", 0);
         store_.set_silent(false);
+    }
+
+    static std::string done_row(std::int64_t token, const std::string& primary)
+    {
+        takeover_row row{.token_ = token,
+                         .holder_ = "host-2",
+                         .endpoint_ = primary,
+                         .stage_ = "done"};
+        return encode(row).dump();
+    }
+
+    // Regression: a watch that the store never answered left changes of the
+    // settings unread until the watch timed out, 29.5 s after it was sent.
+    void settings_are_applied_in_time_after_a_lost_watch()
+    {
+        lose_watches_after_changes();
         store_.put("settings", "all", "3");
-        CPPUNIT_ASSERT(time_until_applied(3, settings_bound_ms) <
-                       settings_bound_ms);
+        assert_applied(3, settings_bound_ms);
+    }
+
+    // Regression: as above, for the entries of endpoints. A leave that was read
+    // late leaves less time for the endpoint's use.
+    void leave_is_read_in_time_after_a_lost_watch()
+    {
+        lose_watches_after_changes();
+        instant left_at = monotonic_now();
+        store_.put("endpoints", "e-1", "leaving");
+        assert_within(drain_ms,
+                      [this]
+                      {
+                          return !endpoints_.empty() &&
+                                 endpoints_.front().leaving_;
+                      });
+        CPPUNIT_ASSERT(endpoints_.front().read_late_ms_ >=
+                       monotonic_now() - left_at - 10);
+    }
+
+    // Regression: as above, for the rows of takeovers.
+    void takeover_is_read_in_time_after_a_lost_watch()
+    {
+        lose_watches_after_changes();
+        store_.put(fleet_control::promotions_table, "orders",
+                   done_row(2, "e-2"));
+        assert_promoted("e-2", takeover_bound_ms);
     }
 };
 
--- a/node/table_feed.cc
+++ b/node/table_feed.cc
@@ -55,6 +55,7 @@
                   {"failed_calls", failed_calls_},
                   {"since_last_answer_ms", since_last_answer()}});
     }
+    read_late_ms_ = failed_calls_ > 0 ? since_last_answer() : 0;
     failed_calls_ = 0;
     answered_at_ = monotonic_now();
 }
--- a/node/table_feed.h
+++ b/node/table_feed.h
@@ -44,7 +44,7 @@
         std::string table_;
         /// Longest time from one answer to the next while nothing changes.
         /// Each answer costs a call, on every host.
-        std::int64_t answer_interval_ms_ = 28'000;
+        std::int64_t answer_interval_ms_ = 1000;
         /// Delay between an answer with changes and the next watch. In a
         /// series of changes the delay doubles each time, up to
         /// `max_delay_ms_`. 0: no delay.
@@ -78,6 +78,12 @@
     {
         return connected_since_;
     }
+    /// Time between the last two answers if calls failed between them, else 0:
+    /// a change in the last answer may be that old.
+    std::int64_t read_late_ms() const
+    {
+        return read_late_ms_;
+    }
     /// Name of the table. Any thread.
     const std::string& table() const
     {
@@ -121,7 +127,8 @@
     std::atomic<instant> answered_at_ = never;
     std::int64_t backoff_ms_;
     std::int64_t next_delay_ms_;
-    instant call_sent_at_ = never;  ///< when the last call was sent
+    instant call_sent_at_ = never; ///< when the last call was sent
+    std::int64_t read_late_ms_ = 0;
     std::int64_t failed_calls_ = 0; ///< since the last answer
     bool listed_ = false;
     bool connected_ = false;
--- a/state/service_catalogue.h
+++ b/state/service_catalogue.h
@@ -88,6 +88,9 @@
     bool leaving_ = false;
     bool primary_ = false;
     std::int64_t row_version_ = 0; ///< increases with each new entry
+    /// How long ago the entry may have been written, if calls to the store
+    /// failed before it was read; 0 if none did.
+    std::int64_t read_late_ms_ = 0;
 };
 
 using endpoint_list = std::vector<endpoint_entry>;
