A version of the store includes the era that the store states

What callers would see: after the store came back from an older copy, a change of the settings or of an endpoint's entry that got a number below a host's position was never read there (CONFIG, DRAIN), an entry with the number of another was skipped, and a precondition could hold for another row.

Cause: positions, remembered versions and preconditions were compared although the store had given the numbers out again. Class of fault: an identifier without the epoch in which it is unique.

Change: the client reads the era of each answer and makes it the upper part of each version. All comparisons of versions then order by era first, without a change at their places; a watch or precondition of an earlier era is refused by the client, also when its answer is what shows the new era. On the first such answer all tables are listed again, since a watch from before may stay unanswered. Weighed: a second field in each comparison (eight places, each of which can be forgotten).

--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -41,7 +41,7 @@
 fleet_control::fleet_control(boost::asio::io_context& loop, table_store& store,
                              promotion_service& promotions, options opts,
                              outputs handlers)
-    : options_(std::move(opts)), outputs_(std::move(handlers)),
+    : store_(store), options_(std::move(opts)), outputs_(std::move(handlers)),
       settings_(
           loop, store,
           {.table_ = options_.format_.settings_table_,
@@ -92,12 +92,24 @@
 
 void fleet_control::start()
 {
+    store_.set_restore_handler(
+        [this]
+        {
+            on_restored();
+        });
     settings_.start();
     endpoints_.start();
     hosts_.start();
     takeover_rows_.start();
 }
 
+void fleet_control::on_restored()
+{
+    // A watch with a position of the earlier era may stay unanswered.
+    for (table_feed* feed : {&settings_, &endpoints_, &takeover_rows_})
+        feed->refresh();
+}
+
 void fleet_control::on_health(const std::string& service,
                               const primary_health& health)
 {
@@ -115,7 +127,9 @@
         if (answered != never)
             out << "tanager_store_answer_age_ms" << label << now - answered
                 << '\n';
-        out << "tanager_store_table_version" << label << feed->version()
+        out << "tanager_store_table_version" << label
+            << number_of(feed->version()) << '\n'
+            << "tanager_store_table_era" << label << era_of(feed->version())
             << '\n';
     }
     return out.str();
--- a/node/fleet_control.h
+++ b/node/fleet_control.h
@@ -98,6 +98,7 @@
 private:
     using rows = std::map<std::string, table_row>;
 
+    void on_restored();
     void on_settings(const rows& current);
     void on_endpoints(const rows& current);
     void on_hosts(const std::vector<fleet_host>& live);
@@ -109,6 +110,7 @@
     void publish_endpoints();
     void schedule_expiry();
 
+    table_store& store_;
     options options_;
     outputs outputs_;
     table_feed settings_;
--- a/node/table_feed.cc
+++ b/node/table_feed.cc
@@ -51,7 +51,8 @@
         connected_since_ = monotonic_now();
         log_line(log_level::info, "store_regained",
                  {{"table", options_.table_},
-                  {"version", version()},
+                  {"version", number_of(version())},
+                  {"era", era_of(version())},
                   {"failed_calls", failed_calls_},
                   {"since_last_answer_ms", since_last_answer()}});
     }
@@ -71,17 +72,34 @@
                         return;
                     if (!answer)
                         return on_failure(answer.error());
-                    on_answer();
-                    listed_ = true;
-                    version_ = answer->version_;
-                    rows_.clear();
-                    for (auto& row : answer->rows_)
-                        rows_[row.key_] = std::move(row);
-                    changed_(rows_);
+                    on_list(std::move(*answer));
                     watch_for_changes();
                 });
 }
 
+void table_feed::refresh()
+{
+    store_.list(options_.table_,
+                [this, alive = std::weak_ptr<bool>(alive_)](
+                    result<table_snapshot> answer)
+                {
+                    // A failure is left to the watch.
+                    if (!alive.expired() && answer)
+                        on_list(std::move(*answer));
+                });
+}
+
+void table_feed::on_list(table_snapshot snapshot)
+{
+    on_answer();
+    listed_ = true;
+    version_ = snapshot.version_;
+    rows_.clear();
+    for (auto& row : snapshot.rows_)
+        rows_[row.key_] = std::move(row);
+    changed_(rows_);
+}
+
 void table_feed::watch_for_changes()
 {
     watch(std::max(no_wait_ms,
@@ -115,7 +133,8 @@
                      std::int64_t delay_ms = delay_after_change();
                      log_line(log_level::info, "table_changed",
                               {{"table", options_.table_},
-                               {"version", version()},
+                               {"version", number_of(version())},
+                               {"era", era_of(version())},
                                {"rows", changes},
                                {"since_last_answer_ms", silent_ms},
                                {"next_watch_in_ms", delay_ms}});
@@ -160,7 +179,8 @@
                  {{"table", options_.table_},
                   {"failure", std::string(name_of(cause.code_))},
                   {"detail", cause.detail_},
-                  {"version", version()},
+                  {"version", number_of(version())},
+                  {"era", era_of(version())},
                   {"waited_ms", monotonic_now() - call_sent_at_},
                   {"since_last_answer_ms", since_last_answer()}});
     if (cause.code_ == error_code::compacted)
--- a/node/table_feed.h
+++ b/node/table_feed.h
@@ -68,6 +68,9 @@
     /// Lists the table and starts to watch it.
     void start();
 
+    /// Lists the table now, beside a watch that may be under way.
+    void refresh();
+
     /// Whether the store answered the last call.
     bool connected() const
     {
@@ -107,6 +110,7 @@
 
 private:
     void list();
+    void on_list(table_snapshot snapshot);
     void watch(std::int64_t wait_ms);
     /// Watches until the next answer is due.
     void watch_for_changes();
--- a/protocol/table_store.h
+++ b/protocol/table_store.h
@@ -5,6 +5,11 @@
 // must survive a restart. A row has the version of the transaction that wrote
 // it; versions increase over all tables.
 //
+// The store may come back from an older copy. What was written since is gone,
+// and the store numbers its transactions from the copy's number again. The
+// store's era, which then rises by one, is a part of a version: all versions of
+// a later era are higher, and no version is given out twice.
+//
 //   // Inserts a row unless it exists.
 //   store.transact({.expected_ = {{"leases", "orders", 0}},
 //                   .put_ = {{.table_ = "leases", .key_ = "orders"}}}, done);
@@ -15,6 +20,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "state/failure.h"
@@ -22,6 +28,26 @@
 namespace tanagerspan
 {
 
+/// The highest number of a transaction in one era is below this value.
+constexpr std::int64_t versions_per_era = std::int64_t{1} << 42;
+
+constexpr std::int64_t make_version(std::int64_t era, std::int64_t number)
+{
+    return era * versions_per_era + number;
+}
+
+/// The era of a version that was read from the store.
+constexpr std::int64_t era_of(std::int64_t version)
+{
+    return version / versions_per_era;
+}
+
+/// Its number in that era, which the store itself uses.
+constexpr std::int64_t number_of(std::int64_t version)
+{
+    return version % versions_per_era;
+}
+
 struct table_row
 {
     std::string table_;
@@ -72,8 +98,17 @@
     using snapshot_handler = std::function<void(result<table_snapshot>)>;
     using answer_handler = std::function<void(result<transaction_answer>)>;
 
+    using restore_handler = std::function<void()>;
+
     virtual ~table_store() = default;
 
+    /// `restored` runs when an answer shows that the store came back from an
+    /// older copy, before the handler of that answer.
+    void set_restore_handler(restore_handler restored)
+    {
+        restored_ = std::move(restored);
+    }
+
     /// A call without an answer fails after this time, a watch after its
     /// `wait_ms` and this time. More than a hundred times the store's usual
     /// response time; a later answer would be too late for any decision.
@@ -84,14 +119,27 @@
     virtual void list(const std::string& table, snapshot_handler done) = 0;
 
     /// Waits up to `wait_ms` for rows that changed after version `after`; the
-    /// snapshot is empty if there are none. Errors: as `list`, and compacted.
+    /// snapshot is empty if there are none. Errors: as `list`, and compacted,
+    /// also if `after` is of an earlier era.
     virtual void watch(const std::string& table, std::int64_t after,
                        std::int64_t wait_ms, snapshot_handler done) = 0;
 
-    /// Applies a transaction. Errors: as `list`. After `lost` it may have been
-    /// applied, or may be applied later if its preconditions still hold.
+    /// Applies a transaction. Errors: as `list`, and compacted if a
+    /// precondition is of an earlier era; nothing was done then. After `lost`
+    /// it may have been applied, or may be applied later if its preconditions
+    /// still hold.
     virtual void transact(const table_transaction& change,
                           answer_handler done) = 0;
+
+protected:
+    void notify_restored()
+    {
+        if (restored_)
+            restored_();
+    }
+
+private:
+    restore_handler restored_;
 };
 
 } // namespace tanagerspan
--- a/transport/http_channel.cc
+++ b/transport/http_channel.cc
@@ -122,8 +122,11 @@
         auto answer = parser_->release();
         if (!answer.keep_alive())
             close();
-        finish(http_reply{static_cast<int>(answer.result_int()),
-                          std::move(answer.body())});
+        http_reply reply{.status_ = static_cast<int>(answer.result_int()),
+                         .body_ = std::move(answer.body())};
+        for (const auto& header : answer)
+            reply.headers_.emplace_back(header.name_string(), header.value());
+        finish(std::move(reply));
     }
 
     void finish_failed(const std::string& detail)
--- a/transport/http_channel.h
+++ b/transport/http_channel.h
@@ -41,6 +41,7 @@
 {
     int status_ = 0;
     std::string body_;
+    std::vector<std::pair<std::string, std::string>> headers_{};
 };
 
 class http_channel
--- a/transport/http_responder.cc
+++ b/transport/http_responder.cc
@@ -46,6 +46,8 @@
         response_ = {};
         response_.version(request_.version());
         response_.result(static_cast<unsigned>(answer.status_));
+        for (const auto& [name, value] : answer.headers_)
+            response_.set(name, value);
         response_.keep_alive(request_.keep_alive());
         response_.body() = std::move(answer.body_);
         response_.prepare_payload();
