Write takeover rows back after a restore of the store

Without a visible failure, the token, the end of the promoted log and pending orders were forgotten as well: two claims with one token, or a promotion of a log without acknowledged changes.

Cause: rows were taken to be as lasting as the store. Class of fault: state that only its writers can restore, and nobody does. Ruled out: a slow or refusing store (answers within 10 ms, 'another version').

Change: a host that knows a later row than the stored one (by token, then stage) keeps it and writes it back, the first home first. No host claims for 3 s after it saw the restore, so that hosts which know the latest row come first. Tokens of an era are above those of earlier ones, so that no token is used twice even if nobody remembers the row. A refused write brings the current row, as the watch may be behind. The log has takeover_row_outdated and the version that a refused write expected.

--- a/coordination/takeover_row.cc
+++ b/coordination/takeover_row.cc
@@ -2,6 +2,30 @@
 
 namespace tanagerspan
 {
+namespace
+{
+
+int stage_rank(const std::string& stage)
+{
+    return stage == "claimed" ? 0 : stage == "ordered" ? 1 : 2;
+}
+
+} // namespace
+
+bool is_earlier(const takeover_row& row, const takeover_row& other)
+{
+    return row.token_ != other.token_
+               ? row.token_ < other.token_
+               : stage_rank(row.stage_) < stage_rank(other.stage_);
+}
+
+takeover_row make_restored_row(const takeover_row& known, std::int64_t since_ms)
+{
+    takeover_row out = known;
+    out.ordered_age_ms_ += since_ms;
+    out.resumed_age_ms_ += since_ms;
+    return out;
+}
 
 pending_commands pending_commands_of(const takeover_row& row,
                                      std::int64_t since_ms)
--- a/coordination/takeover_row.h
+++ b/coordination/takeover_row.h
@@ -22,6 +22,10 @@
 // writing, and a reader adds the time since it received the row. The reader may
 // underestimate the age of a command, but never overestimates it.
 //
+// The store may come back from an older copy, without the latest rows. Each
+// host then keeps the later of the row that it knows and the stored one, and
+// writes it back; `is_earlier` tells which one that is.
+//
 // Pure. Any thread.
 
 #include <cstdint>
@@ -85,6 +89,22 @@
 pending_commands pending_commands_of(const takeover_row& row,
                                      std::int64_t since_ms);
 
+/// Whether `row` precedes `other` in the history of a service's takeovers: by
+/// token, then by stage.
+bool is_earlier(const takeover_row& row, const takeover_row& other);
+
+/// The row to write back, `since_ms` after it was received.
+takeover_row make_restored_row(const takeover_row& known,
+                               std::int64_t since_ms);
+
+/// The lowest token of claims in an era of the store: above those of earlier
+/// eras, which no host may remember.
+constexpr std::int64_t first_token(std::int64_t era)
+{
+    constexpr std::int64_t tokens_per_era = 1'000'000;
+    return era * tokens_per_era;
+}
+
 /// The row of a new claim that replaces `seen`, received `since_ms` ago.
 takeover_row make_claim_row(const takeover_row& seen, std::int64_t since_ms,
                             const std::string& holder);
--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -282,8 +282,7 @@
 
 void fleet_control::on_takeover_rows(const rows& current)
 {
-    for (const auto& [service, row] : current)
-        takeovers_.on_row(service, row);
+    takeovers_.on_rows(current, era_of(takeover_rows_.version()));
 }
 
 } // namespace tanagerspan
--- a/node/fleet_control_test.cc
+++ b/node/fleet_control_test.cc
@@ -1,6 +1,7 @@
 // Tests of fleet_control against a store with failures.
 
 #include <chrono>
+#include <optional>
 #include <string>
 
 #include "node/fleet_control.h"
@@ -48,6 +49,10 @@
     CPPUNIT_TEST(settings_are_applied_in_time_after_a_lost_watch);
     CPPUNIT_TEST(leave_is_read_in_time_after_a_lost_watch);
     CPPUNIT_TEST(takeover_is_read_in_time_after_a_lost_watch);
+    CPPUNIT_TEST(settings_are_read_after_a_restore);
+    CPPUNIT_TEST(lost_takeover_row_is_written_back);
+    CPPUNIT_TEST(earlier_takeover_row_is_replaced);
+    CPPUNIT_TEST(later_takeover_row_is_kept);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context loop_{1};
@@ -189,6 +194,89 @@
                    done_row(2, "e-2"));
         assert_promoted("e-2", takeover_bound_ms);
     }
+
+    void start_with_settings(const std::string& version)
+    {
+        store_.put("settings", "all", version);
+        control_->start();
+        assert_applied(std::stoll(version), quick_ms);
+    }
+
+    std::optional<takeover_row> stored_takeover() const
+    {
+        auto row = store_.find(fleet_control::promotions_table, "orders");
+        if (!row)
+            return std::nullopt;
+        return *decode_text<takeover_row>(row->value_);
+    }
+
+    // The numbers of the restored store pass the position of the watch, which
+    // stays unanswered.
+    void settings_are_read_after_a_restore()
+    {
+        start_with_settings("1");
+        store_.save_copy();
+        store_.put("settings", "all", "2");
+        assert_applied(2, quick_ms);
+        store_.restore();
+        store_.put("settings", "all", "3");
+        for (int other_rows = 0; other_rows < 5; ++other_rows)
+            store_.put("others", "x", "y");
+        assert_applied(3, quick_ms);
+    }
+
+    // Regression: after a restore without the row of a takeover, each claim
+    // expected the row's lost version, and no primary could be promoted.
+    void lost_takeover_row_is_written_back()
+    {
+        start_with_settings("1");
+        store_.save_copy();
+        store_.put(fleet_control::promotions_table, "orders",
+                   done_row(7, "e-2"));
+        assert_promoted("e-2", quick_ms);
+        store_.restore();
+        assert_within(takeover_bound_ms,
+                      [this]
+                      {
+                          return stored_takeover().has_value();
+                      });
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, stored_takeover()->token_);
+        CPPUNIT_ASSERT_EQUAL(std::string("e-2"), stored_takeover()->endpoint_);
+    }
+
+    void earlier_takeover_row_is_replaced()
+    {
+        store_.put(fleet_control::promotions_table, "orders",
+                   done_row(6, "e-1"));
+        start_with_settings("1");
+        assert_promoted("e-1", quick_ms);
+        store_.save_copy();
+        store_.put(fleet_control::promotions_table, "orders",
+                   done_row(7, "e-2"));
+        assert_promoted("e-2", quick_ms);
+        store_.restore();
+        assert_within(takeover_bound_ms,
+                      [this]
+                      {
+                          return stored_takeover()->token_ == 7;
+                      });
+        CPPUNIT_ASSERT_EQUAL(std::string("e-2"), promoted_);
+    }
+
+    void later_takeover_row_is_kept()
+    {
+        start_with_settings("1");
+        store_.save_copy();
+        store_.put(fleet_control::promotions_table, "orders",
+                   done_row(7, "e-2"));
+        assert_promoted("e-2", quick_ms);
+        store_.restore();
+        store_.put(fleet_control::promotions_table, "orders",
+                   done_row(9, "e-3"));
+        assert_promoted("e-3", quick_ms);
+        run_for(takeover_bound_ms);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{9}, stored_takeover()->token_);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_control_test);
--- a/node/takeover_driver.cc
+++ b/node/takeover_driver.cc
@@ -118,24 +118,61 @@
     schedule_tick();
 }
 
-void takeover_driver::on_row(const std::string& service, const table_row& row)
+void takeover_driver::on_rows(const std::map<std::string, table_row>& rows,
+                              std::int64_t era)
+{
+    if (era_ != unknown_era && era > era_)
+        hold_claims_until_ = monotonic_now() + options_.restore_hold_ms_;
+    era_ = std::max(era_, era);
+    for (const auto& [service, row] : rows)
+        on_row(state_of(service), row);
+    for (auto& [service, state] : services_)
+    {
+        // Rows are never removed, so the store lost this one.
+        if (state.row_version_ == 0 || rows.contains(service))
+            continue;
+        state.row_version_ = 0;
+        on_row_outdated(state, 0);
+    }
+}
+
+void takeover_driver::on_row_outdated(service_state& state,
+                                      std::int64_t stored_token)
+{
+    std::int64_t delay_ms =
+        std::min(rank_of(state.name_) * options_.write_back_step_ms_,
+                 options_.max_write_back_delay_ms_);
+    state.write_back_at_ = monotonic_now() + delay_ms;
+    log_line(log_level::info, "takeover_row_outdated",
+             {{"service", state.name_},
+              {"token", stored_token},
+              {"known_token", state.row_.token_},
+              {"known_stage", state.row_.stage_},
+              {"write_back_in_ms", delay_ms}});
+    schedule_tick();
+}
+
+void takeover_driver::on_row(service_state& state, const table_row& row)
 {
-    service_state& state = state_of(service);
     if (row.version_ <= state.row_version_)
         return;
     auto decoded = decode_text<takeover_row>(row.value_);
     if (!decoded)
     {
-        log_line(log_level::error, "takeover_row_invalid",
-                 {{"service", service}, {"detail", decoded.error().detail_}});
+        log_line(
+            log_level::error, "takeover_row_invalid",
+            {{"service", state.name_}, {"detail", decoded.error().detail_}});
         return;
     }
-    state.row_ = *decoded;
     state.row_version_ = row.version_;
+    if (is_earlier(*decoded, state.row_))
+        return on_row_outdated(state, decoded->token_);
+    state.write_back_at_ = never;
+    state.row_ = *decoded;
     state.row_received_at_ = monotonic_now();
     state.trigger_.on_row(*decoded, state.row_received_at_);
     if (decoded->stage_ == "done" && !decoded->endpoint_.empty())
-        primary_changed_(service, decoded->endpoint_, row.version_);
+        primary_changed_(state.name_, decoded->endpoint_, row.version_);
     bool confirms_claim = state.claim_ &&
                           state.claim_->holder_ == decoded->holder_ &&
                           state.claim_->token_ == decoded->token_;
@@ -146,13 +183,15 @@
 
 void takeover_driver::schedule_tick()
 {
-    bool needed = std::any_of(services_.begin(), services_.end(),
-                              [](const auto& service)
-                              {
-                                  return service.second.attempt_ ||
-                                         service.second.claim_ ||
-                                         service.second.trigger_.needs_check();
-                              });
+    bool needed =
+        std::any_of(services_.begin(), services_.end(),
+                    [](const auto& service)
+                    {
+                        return service.second.attempt_ ||
+                               service.second.claim_ ||
+                               service.second.write_back_at_ != never ||
+                               service.second.trigger_.needs_check();
+                    });
     if (tick_scheduled_ || !needed)
         return;
     tick_scheduled_ = true;
@@ -174,12 +213,16 @@
         if (state.claim_ &&
             now - state.claimed_at_ > options_.claim_timeout_ms_)
             state.claim_.reset();
+        if (state.write_back_at_ != never && now >= state.write_back_at_)
+            write_back(state, now);
+        bool may_claim = !state.claim_ && state.write_back_at_ == never &&
+                         now >= hold_claims_until_;
         if (state.attempt_)
         {
             perform(state, state.attempt_->tick(now));
             replace_timed_out_links(state, now);
         }
-        else if (!state.claim_)
+        else if (may_claim)
         {
             if (auto reason = state.trigger_.check(rank_of(name), now))
                 claim(state, *reason, now);
@@ -188,11 +231,25 @@
     schedule_tick();
 }
 
+void takeover_driver::write_back(service_state& state, instant now)
+{
+    constexpr std::int64_t retry_ms = 1000;
+    state.write_back_at_ = now + retry_ms;
+    write_row(state,
+              make_restored_row(state.row_, now - state.row_received_at_),
+              [&state](bool applied)
+              {
+                  if (applied)
+                      state.write_back_at_ = never;
+              });
+}
+
 void takeover_driver::claim(service_state& state, takeover_reason reason,
                             instant now)
 {
     takeover_row row = make_claim_row(state.row_, now - state.row_received_at_,
                                       options_.host_name_);
+    row.token_ = std::max(row.token_, first_token(era_));
     state.claim_ = row;
     state.claimed_at_ = now;
     state.claim_reason_ = reason;
@@ -231,8 +288,8 @@
                   .value_ = encode(row).dump()}}};
     store_.transact(
         change,
-        [this, &state, row, done = std::move(done),
-         alive = std::weak_ptr<bool>(alive_)](
+        [this, &state, row, expected_version = state.row_version_,
+         done = std::move(done), alive = std::weak_ptr<bool>(alive_)](
             const result<transaction_answer>& answer)
         {
             if (alive.expired())
@@ -252,8 +309,15 @@
                 log_line(log_level::info, "takeover_row_not_written",
                          {{"service", state.name_},
                           {"stage", row.stage_},
+                          {"expected_version", number_of(expected_version)},
                           {"reason", answer ? "the row has another version"
                                             : answer.error().detail_}});
+            if (answer && !applied)
+            {
+                // The watch may be behind.
+                for (const auto& stored : answer->current_.rows_)
+                    on_row(state, stored);
+            }
             done(applied);
         });
 }
--- a/node/takeover_driver.h
+++ b/node/takeover_driver.h
@@ -6,6 +6,10 @@
 // and `takeover` make the decisions; this class passes events to them and
 // performs the actions that they return.
 //
+// When the store came back from an older copy, rows are missing or earlier than
+// those that this host knows. They are written back, and no claim is made
+// meanwhile: hosts that know the latest row come first.
+//
 // Control thread only.
 
 #include <cstdint>
@@ -48,6 +52,14 @@
         std::int64_t statement_timeout_ms_ = 500;
         /// Timeout for the confirmation of a claim; the claim is then dropped.
         std::int64_t claim_timeout_ms_ = 1000;
+        /// Delay between the hosts' attempts to write a row back, in the order
+        /// of their claims, and the longest one.
+        std::int64_t write_back_step_ms_ = 100;
+        std::int64_t max_write_back_delay_ms_ = 2000;
+        /// No claims for this time after a restore of the store was seen: other
+        /// hosts see it at the end of their watch of the settings, and then
+        /// write back what they know.
+        std::int64_t restore_hold_ms_ = 3000;
     };
     /// Arguments: the service, the id of its primary and the version of the
     /// takeover row that names this primary.
@@ -72,8 +84,10 @@
     /// Processes the state of a service's primary as this host observes it.
     void on_health(const std::string& service, const primary_health& health);
 
-    /// Processes a takeover row that was read from the store.
-    void on_row(const std::string& service, const table_row& row);
+    /// Processes all takeover rows, by service, as read from the store in
+    /// `era`.
+    void on_rows(const std::map<std::string, table_row>& rows,
+                 std::int64_t era);
 
 private:
     struct member_link
@@ -91,6 +105,8 @@
         takeover_row row_;
         std::int64_t row_version_ = 0;
         instant row_received_at_ = never;
+        /// When `row_` is to be written back; never: the store has it.
+        instant write_back_at_ = never;
         std::optional<takeover_row> claim_; ///< of this host, unconfirmed
         instant claimed_at_ = never;
         takeover_reason claim_reason_ = takeover_reason::silent;
@@ -103,6 +119,9 @@
     std::int64_t rank_of(const std::string& service) const;
     void schedule_tick();
     void tick();
+    void on_row(service_state& state, const table_row& row);
+    void on_row_outdated(service_state& state, std::int64_t stored_token);
+    void write_back(service_state& state, instant now);
     void claim(service_state& state, takeover_reason reason, instant now);
     void start_attempt(service_state& state, std::int64_t row_version);
     void write_row(service_state& state, const takeover_row& row,
@@ -131,6 +150,9 @@
     primary_handler primary_changed_;
     boost::asio::steady_timer timer_;
     bool tick_scheduled_ = false;
+    static constexpr std::int64_t unknown_era = -1;
+    std::int64_t era_ = unknown_era;
+    instant hold_claims_until_ = never;
     std::vector<std::string> host_names_;
     home_plan_ptr home_plan_;
     std::map<std::string, service_state> services_;
--- a/stand_ins/watched_store.cc
+++ b/stand_ins/watched_store.cc
@@ -10,9 +10,9 @@
 namespace
 {
 
-result<table_snapshot> lost_call()
+bool is_of_other_era(std::int64_t version, std::int64_t era)
 {
-    return fail(error_code::lost, "timeout");
+    return version != 0 && era_of(version) != era;
 }
 
 } // namespace
@@ -21,15 +21,49 @@
                                 const std::string& key,
                                 const std::string& value)
 {
-    ++version_;
+    ++number_;
     write({.table_ = table, .key_ = key, .value_ = value});
     answer_watches();
-    return version_;
+    return version();
+}
+
+void watched_store::restore()
+{
+    rows_ = copy_;
+    number_ = copied_number_;
+    ++era_;
+    for (auto& watch : watches_)
+        lose(watch.wait_ms_ + answer_margin_ms,
+             [done = watch.done_](const failure& cause)
+             {
+                 done(tl::unexpected(cause));
+             });
+    watches_.clear();
+    boost::asio::post(loop_,
+                      [this]
+                      {
+                          notify_restored();
+                      });
+}
+
+std::optional<table_row> watched_store::find(const std::string& table,
+                                             const std::string& key) const
+{
+    auto row = rows_.find({table, key});
+    if (row == rows_.end())
+        return std::nullopt;
+    return with_era(row->second);
+}
+
+table_row watched_store::with_era(table_row row) const
+{
+    row.version_ = make_version(era_, row.version_);
+    return row;
 }
 
 void watched_store::write(table_row row)
 {
-    row.version_ = version_;
+    row.version_ = number_;
     row_key key{row.table_, row.key_};
     rows_[key] = std::move(row);
 }
@@ -40,8 +74,8 @@
     std::vector<table_row> out;
     for (const auto& [key, row] : rows_)
     {
-        if (key.first == table && row.version_ > version)
-            out.push_back(row);
+        if (key.first == table && row.version_ > number_of(version))
+            out.push_back(with_era(row));
     }
     return out;
 }
@@ -58,12 +92,22 @@
         });
 }
 
+void watched_store::lose(std::int64_t after_ms,
+                         std::function<void(failure)> done)
+{
+    run_after(after_ms,
+              [done = std::move(done)]
+              {
+                  done({error_code::lost, "timeout"});
+              });
+}
+
 void watched_store::answer(const snapshot_handler& done,
                            std::vector<table_row> rows)
 {
     boost::asio::post(loop_,
                       [done, snapshot = table_snapshot{.rows_ = std::move(rows),
-                                                       .version_ = version_}]
+                                                       .version_ = version()}]
                       {
                           done(snapshot);
                       });
@@ -86,11 +130,11 @@
 {
     ++calls_;
     if (silent_)
-        return run_after(answer_margin_ms,
-                         [done = std::move(done)]
-                         {
-                             done(lost_call());
-                         });
+        return lose(answer_margin_ms,
+                    [done = std::move(done)](const failure& cause)
+                    {
+                        done(tl::unexpected(cause));
+                    });
     answer(done, rows_after(table, 0));
 }
 
@@ -99,50 +143,59 @@
 {
     ++calls_;
     if (silent_)
-        return run_after(wait_ms + answer_margin_ms,
-                         [done = std::move(done)]
-                         {
-                             done(lost_call());
-                         });
+        return lose(wait_ms + answer_margin_ms,
+                    [done = std::move(done)](const failure& cause)
+                    {
+                        done(tl::unexpected(cause));
+                    });
+    if (is_of_other_era(after, era_))
+        return boost::asio::post(
+            loop_,
+            [done = std::move(done)]
+            {
+                done(fail(error_code::compacted, "restored"));
+            });
     auto rows = rows_after(table, after);
     if (!rows.empty() || wait_ms == 0)
         return answer(done, std::move(rows));
-    auto watch = watches_.insert(watches_.end(), {table, after, done});
+    auto watch = watches_.insert(watches_.end(), {table, after, wait_ms, done});
     run_after(wait_ms,
-              [this, watch_done = std::weak_ptr<bool>(watch->open_), watch]
+              [this, open = std::weak_ptr<bool>(watch->open_), watch]
               {
-                  if (watch_done.expired())
+                  if (open.expired())
                       return;
                   answer(watch->done_, {});
                   watches_.erase(watch);
               });
 }
 
+bool watched_store::holds(const row_precondition& guard) const
+{
+    auto row = rows_.find({guard.table_, guard.key_});
+    if (row == rows_.end())
+        return guard.version_ == 0;
+    return guard.version_ == make_version(era_, row->second.version_);
+}
+
 void watched_store::transact(const table_transaction& change,
                              answer_handler done)
 {
     ++calls_;
     if (silent_)
-        return run_after(answer_margin_ms,
-                         [done = std::move(done)]
-                         {
-                             done(tl::unexpected(lost_call().error()));
-                         });
-    auto current_version = [this](const row_precondition& guard)
-    {
-        auto row = rows_.find({guard.table_, guard.key_});
-        return row == rows_.end() ? 0 : row->second.version_;
-    };
-    bool holds =
-        std::all_of(change.expected_.begin(), change.expected_.end(),
-                    [&](const row_precondition& guard)
+        return lose(answer_margin_ms,
+                    [done = std::move(done)](const failure& cause)
                     {
-                        return current_version(guard) == guard.version_;
+                        done(tl::unexpected(cause));
                     });
-    transaction_answer out{.applied_ = holds};
-    if (holds)
+    transaction_answer out{.applied_ = std::all_of(
+                               change.expected_.begin(), change.expected_.end(),
+                               [this](const row_precondition& guard)
+                               {
+                                   return holds(guard);
+                               })};
+    if (out.applied_)
     {
-        ++version_;
+        ++number_;
         for (const auto& row : change.put_)
             write(row);
         answer_watches();
@@ -151,12 +204,11 @@
     {
         for (const auto& guard : change.expected_)
         {
-            auto row = rows_.find({guard.table_, guard.key_});
-            if (row != rows_.end())
-                out.current_.rows_.push_back(row->second);
+            if (auto row = find(guard.table_, guard.key_))
+                out.current_.rows_.push_back(std::move(*row));
         }
     }
-    out.current_.version_ = version_;
+    out.current_.version_ = version();
     boost::asio::post(loop_,
                       [done = std::move(done), out = std::move(out)]
                       {
--- a/stand_ins/watched_store.h
+++ b/stand_ins/watched_store.h
@@ -3,7 +3,7 @@
 
 // Stand-in for the platform's table store on an event loop, with the failures
 // that a client sees from outside: a silent store accepts calls and never
-// answers them.
+// answers them, and a restored one forgets what was written since its copy.
 //
 //   watched_store store(loop);
 //   store.put("settings", "all", "v1");
@@ -17,6 +17,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,20 @@
         silent_ = silent;
     }
 
+    /// Makes the copy from which `restore` comes back.
+    void save_copy()
+    {
+        copy_ = rows_;
+        copied_number_ = number_;
+    }
+    /// Comes back from the copy in a new era. Watches stay unanswered until
+    /// they time out.
+    void restore();
+
+    /// The row as stored; nothing if there is none.
+    std::optional<table_row> find(const std::string& table,
+                                  const std::string& key) const;
+
     /// The number of calls so far, lost ones included.
     std::size_t calls() const
     {
@@ -65,6 +80,7 @@
     {
         std::string table_;
         std::int64_t after_ = 0;
+        std::int64_t wait_ms_ = 0;
         snapshot_handler done_;
         /// Released when the watch has been answered.
         std::shared_ptr<bool> open_ = std::make_shared<bool>(true);
@@ -72,14 +88,24 @@
 
     std::vector<table_row> rows_after(const std::string& table,
                                       std::int64_t version) const;
+    std::int64_t version() const
+    {
+        return make_version(era_, number_);
+    }
+    table_row with_era(table_row row) const;
+    void lose(std::int64_t after_ms, std::function<void(failure)> done);
+    bool holds(const row_precondition& guard) const;
     void write(table_row row);
     void answer_watches();
     void answer(const snapshot_handler& done, std::vector<table_row> rows);
     void run_after(std::int64_t delay_ms, std::function<void()> task);
 
     boost::asio::io_context& loop_;
-    std::map<row_key, table_row> rows_;
-    std::int64_t version_ = 0;
+    std::map<row_key, table_row> rows_; ///< with numbers as versions
+    std::map<row_key, table_row> copy_;
+    std::int64_t number_ = 0;
+    std::int64_t copied_number_ = 0;
+    std::int64_t era_ = 1;
     std::list<pending_watch> watches_;
     bool silent_ = false;
     std::size_t calls_ = 0;
