A leave outlasts a restore of the store

Change: a leave is final until the endpoint starts anew. Test first: leave_outlasts_a_restore failed (75 passed, 1 failed), 76 pass now.

--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -214,6 +214,11 @@
     }
     rejected_versions_.erase(id);
     entry->read_late_ms_ = endpoints_.read_late_ms();
+    // A leave is final until the endpoint restarts. An entry without it is one
+    // that a restore of the store brought back.
+    if (existing != entries_.end() && existing->second.leaving_ &&
+        existing->second.started_ms_ == entry->started_ms_)
+        entry->leaving_ = true;
     entries_[id] = std::move(*entry);
     return true;
 }
--- a/node/fleet_control_test.cc
+++ b/node/fleet_control_test.cc
@@ -33,12 +33,13 @@
     return route_table{.version_ = std::stoll(std::string(text))};
 }
 
-/// Entries are "ready" or "leaving".
+/// Entries are "ready", "leaving" or "restarted".
 result<endpoint_entry> parse_state(std::string_view id, std::string_view text,
                                    std::int64_t row_version)
 {
     return endpoint_entry{.id_ = std::string(id),
                           .service_ = "orders",
+                          .started_ms_ = text == "restarted" ? 2 : 1,
                           .leaving_ = text == "leaving",
                           .row_version_ = row_version};
 }
@@ -50,6 +51,8 @@
     CPPUNIT_TEST(leave_is_read_in_time_after_a_lost_watch);
     CPPUNIT_TEST(takeover_is_read_in_time_after_a_lost_watch);
     CPPUNIT_TEST(settings_are_read_after_a_restore);
+    CPPUNIT_TEST(leave_outlasts_a_restore);
+    CPPUNIT_TEST(restarted_endpoint_is_not_leaving);
     CPPUNIT_TEST(lost_takeover_row_is_written_back);
     CPPUNIT_TEST(earlier_takeover_row_is_replaced);
     CPPUNIT_TEST(later_takeover_row_is_kept);
@@ -179,8 +182,7 @@
         assert_within(drain_ms,
                       [this]
                       {
-                          return !endpoints_.empty() &&
-                                 endpoints_.front().leaving_;
+                          return is_leaving();
                       });
         CPPUNIT_ASSERT(endpoints_.front().read_late_ms_ >=
                        monotonic_now() - left_at - 10);
@@ -225,6 +227,42 @@
         assert_applied(3, quick_ms);
     }
 
+    bool is_leaving() const
+    {
+        return !endpoints_.empty() && endpoints_.front().leaving_;
+    }
+
+    // Regression: an entry from the copy said that the endpoint is ready, and
+    // the drain period began anew when the endpoint wrote its leave again.
+    void leave_outlasts_a_restore()
+    {
+        store_.put("endpoints", "e-1", "ready");
+        start_with_settings("1");
+        store_.save_copy();
+        store_.put("endpoints", "e-1", "leaving");
+        assert_within(quick_ms,
+                      [this]
+                      {
+                          return is_leaving();
+                      });
+        store_.restore();
+        run_for(quick_ms);
+        CPPUNIT_ASSERT(is_leaving());
+    }
+
+    void restarted_endpoint_is_not_leaving()
+    {
+        store_.put("endpoints", "e-1", "leaving");
+        start_with_settings("1");
+        CPPUNIT_ASSERT(is_leaving());
+        store_.put("endpoints", "e-1", "restarted");
+        assert_within(quick_ms,
+                      [this]
+                      {
+                          return !is_leaving();
+                      });
+    }
+
     // Regression: after a restore without the row of a takeover, each claim
     // expected the row's lost version, and no primary could be promoted.
     void lost_takeover_row_is_written_back()
