Renew the row of a host at once after a restore of the store

A restore loses the rows of hosts that started since the copy. Each writes its row again only at its regular renewal, up to 20 s later; meanwhile the others divide its share of the connections among themselves, and endpoints refuse what is over their limit.

Change: a host that sees a restore lists and renews at once, and keeps the hosts that it knew for 5 s. Tests first: row_is_renewed_after_a_restore and known_hosts_are_kept_after_a_restore failed (76 passed, 2 failed), 78 pass now.

--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -108,6 +108,7 @@
     // A watch with a position of the earlier era may stay unanswered.
     for (table_feed* feed : {&settings_, &endpoints_, &takeover_rows_})
         feed->refresh();
+    hosts_.on_restored();
 }
 
 void fleet_control::on_health(const std::string& service,
--- a/node/host_directory.cc
+++ b/node/host_directory.cc
@@ -52,6 +52,29 @@
            snapshot.now_ms_ - row.seen_ms_ > options_.stale_after_ms_;
 }
 
+void host_directory::on_restored()
+{
+    renewed_at_ = never;
+    keep_known_until_ = monotonic_now() + options_.keep_known_ms_;
+    next_list_delay_ms_ = options_.initial_list_delay_ms_;
+    constexpr std::int64_t at_once = 0;
+    schedule(at_once);
+}
+
+void host_directory::keep_known_hosts(std::vector<fleet_host>& live) const
+{
+    for (const auto& known : live_)
+    {
+        bool listed = std::any_of(live.begin(), live.end(),
+                                  [&known](const fleet_host& host)
+                                  {
+                                      return host.name_ == known.name_;
+                                  });
+        if (!listed)
+            live.push_back(known);
+    }
+}
+
 void host_directory::on_list(const table_snapshot& snapshot)
 {
     instant now = monotonic_now();
@@ -72,6 +95,8 @@
                 {row.key_, decoded->data_centre_, decoded->peers_address_});
     }
     live.push_back(options_.own_);
+    if (now < keep_known_until_)
+        keep_known_hosts(live);
     std::sort(live.begin(), live.end(),
               [](const fleet_host& left, const fleet_host& right)
               {
--- a/node/host_directory.h
+++ b/node/host_directory.h
@@ -12,7 +12,9 @@
 // wake every host at each renewal.
 //
 // While the store is unavailable no host can renew its row. Rows count as
-// stale only after the store has been reachable for two renewal periods.
+// stale only after the store has been reachable for two renewal periods. After
+// a restore of the store rows are missing until their hosts have renewed them;
+// hosts that were known before count as live meanwhile.
 //
 // Control thread only.
 
@@ -51,6 +53,9 @@
         std::int64_t renew_period_ms_ = 20'000;
         /// Age at which a row is stale: three missed renewals.
         std::int64_t stale_after_ms_ = 60'000;
+        /// How long hosts whose rows a restore lost count as live: until each
+        /// has seen the restore and renewed its row.
+        std::int64_t keep_known_ms_ = 5000;
     };
     using change_handler = std::function<void(const std::vector<fleet_host>&)>;
 
@@ -63,6 +68,9 @@
     /// Starts the periodic list calls and renewals.
     void start();
 
+    /// Renews this host's row, which the store may have lost in a restore.
+    void on_restored();
+
     /// Removes this host's row. Calls `done` once the row is removed or the
     /// store call has failed.
     void leave(std::function<void()> done);
@@ -70,6 +78,7 @@
 private:
     void list();
     void on_list(const table_snapshot& snapshot);
+    void keep_known_hosts(std::vector<fleet_host>& live) const;
     void renew(std::int64_t store_now_ms);
     void schedule(std::int64_t after_ms);
     bool is_stale(const fleet_host_row& row,
@@ -82,6 +91,7 @@
     std::vector<fleet_host> live_;
     instant connected_since_ = never;
     instant renewed_at_ = never;
+    instant keep_known_until_ = never;
     std::int64_t next_list_delay_ms_;
     bool reported_ = false;
     bool leaving_ = false;
--- a/node/host_directory_test.cc
+++ b/node/host_directory_test.cc
@@ -67,6 +67,8 @@
     CPPUNIT_TEST(stale_rows_are_ignored);
     CPPUNIT_TEST(rows_are_not_stale_while_the_store_is_unavailable);
     CPPUNIT_TEST(unreadable_rows_are_skipped);
+    CPPUNIT_TEST(row_is_renewed_after_a_restore);
+    CPPUNIT_TEST(known_hosts_are_kept_after_a_restore);
     CPPUNIT_TEST(leave_removes_the_own_row);
     CPPUNIT_TEST_SUITE_END();
 
@@ -75,7 +77,7 @@
     std::vector<fleet_host> live_;
     std::unique_ptr<host_directory> directory_;
 
-    void start()
+    void start(std::int64_t renew_period_ms = 40)
     {
         directory_ = std::make_unique<host_directory>(
             loop_, store_,
@@ -83,8 +85,9 @@
                                     .own_ = {"own", "dc", "10.0.0.9:7000"},
                                     .initial_list_delay_ms_ = 10,
                                     .list_period_ms_ = 10,
-                                    .renew_period_ms_ = 40,
-                                    .stale_after_ms_ = 1000},
+                                    .renew_period_ms_ = renew_period_ms,
+                                    .stale_after_ms_ = 1000,
+                                    .keep_known_ms_ = 200},
             [this](const std::vector<fleet_host>& live)
             {
                 live_ = live;
@@ -145,6 +148,32 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, live_.size());
     }
 
+    // Regression: a row that a restore of the store lost was missing until its
+    // regular renewal, 20 s later, and the other hosts took its connections.
+    void row_is_renewed_after_a_restore()
+    {
+        start(20'000);
+        run_for(30);
+        store_.rows_.clear();
+        directory_->on_restored();
+        run_for(30);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store_.rows_.size());
+    }
+
+    void known_hosts_are_kept_after_a_restore()
+    {
+        store_.put("other", store_.now_ms_);
+        start();
+        run_for(30);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, live_.size());
+        store_.rows_.clear();
+        directory_->on_restored();
+        run_for(30);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, live_.size());
+        run_for(300);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, live_.size());
+    }
+
     void leave_removes_the_own_row()
     {
         start();
