A feed ignores an answer that is older than its copy

The list on a restore runs beside a watch, each on a connection of its own. Its answer could arrive after one of the watch that had read more, and the feed went back to the older rows without reading the changes between again; the other way round an older row replaced a newer one.

--- a/node/table_feed.cc
+++ b/node/table_feed.cc
@@ -79,14 +79,16 @@
 
 void table_feed::refresh()
 {
-    store_.list(options_.table_,
-                [this, alive = std::weak_ptr<bool>(alive_)](
-                    result<table_snapshot> answer)
-                {
-                    // A failure is left to the watch.
-                    if (!alive.expired() && answer)
-                        on_list(std::move(*answer));
-                });
+    store_.list(
+        options_.table_,
+        [this,
+         alive = std::weak_ptr<bool>(alive_)](result<table_snapshot> answer)
+        {
+            // A failure is left to the watch, which may also have
+            // read more than this list.
+            if (!alive.expired() && answer && answer->version_ > version())
+                on_list(std::move(*answer));
+        });
 }
 
 void table_feed::on_list(table_snapshot snapshot)
@@ -119,7 +121,10 @@
                          return on_failure(answer.error());
                      std::int64_t silent_ms = since_last_answer();
                      on_answer();
-                     version_ = std::max(version(), answer->version_);
+                     // A refresh has read more.
+                     if (answer->version_ < version())
+                         return watch_for_changes();
+                     version_ = answer->version_;
                      std::size_t changes = answer->rows_.size();
                      for (auto& row : answer->rows_)
                      {
--- a/node/table_feed_test.cc
+++ b/node/table_feed_test.cc
@@ -63,6 +63,8 @@
     CPPUNIT_TEST(compaction_causes_a_new_list);
     CPPUNIT_TEST(series_of_changes_is_batched);
     CPPUNIT_TEST(every_watch_ends_when_the_next_answer_is_due);
+    CPPUNIT_TEST(watch_answer_older_than_a_refresh_is_ignored);
+    CPPUNIT_TEST(refresh_older_than_a_watch_answer_is_ignored);
     CPPUNIT_TEST(leave_is_read_before_the_endpoint_stops);
     CPPUNIT_TEST_SUITE_END();
 
@@ -207,6 +209,34 @@
         }
     }
 
+    // A refresh and the watch that is under way have connections of their own,
+    // so their answers may arrive in either order.
+    void watch_answer_older_than_a_refresh_is_ignored()
+    {
+        feed_->refresh();
+        manual_store::answer(
+            store_.lists_,
+            table_snapshot{.rows_ = {row("a"), row("b")}, .version_ = 9});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, rows_);
+        manual_store::answer(
+            store_.watches_,
+            table_snapshot{.rows_ = {row("a", true)}, .version_ = 7});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, feed_->rows().size());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{9}, store_.watches_.back().after_);
+    }
+
+    void refresh_older_than_a_watch_answer_is_ignored()
+    {
+        feed_->refresh();
+        manual_store::answer(
+            store_.watches_,
+            table_snapshot{.rows_ = {row("b")}, .version_ = 7});
+        manual_store::answer(
+            store_.lists_, table_snapshot{.rows_ = {row("a")}, .version_ = 6});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, feed_->rows().size());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, feed_->version());
+    }
+
     // Regression: with longer delays, a leaving primary without a successor was
     // still used 7.5 s after it had announced its leave.
     void leave_is_read_before_the_endpoint_stops()
