The hold of claims after a restore follows the bound of the settings

The 3 s were right where a change of the settings has 3 s; where it has 5 or 6, a host may see the restore that much later, at the end of its watch, and another one without the latest row could have claimed before.

--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -80,7 +80,8 @@
       takeovers_(loop, store, promotions,
                  {.host_name_ = options_.own_.name_,
                   .table_ = promotions_table,
-                  .codec_ = options_.codec_},
+                  .codec_ = options_.codec_,
+                  .restore_hold_ms_ = options_.settings_bound_ms_},
                  [this](const std::string& service, const std::string& primary,
                         std::int64_t version)
                  {
--- a/node/takeover_driver.h
+++ b/node/takeover_driver.h
@@ -56,9 +56,9 @@
         /// of their claims, and the longest one.
         std::int64_t write_back_step_ms_ = 100;
         std::int64_t max_write_back_delay_ms_ = 2000;
-        /// No claims for this time after a restore of the store was seen: other
-        /// hosts see it at the end of their watch of the settings, and then
-        /// write back what they know.
+        /// No claims for this time after a restore of the store was seen, in
+        /// which the other hosts see it, too: at the latest at the end of their
+        /// watch of the settings.
         std::int64_t restore_hold_ms_ = 3000;
     };
     /// Arguments: the service, the id of its primary and the version of the
