A host repeats its own attempt when the end could not be recorded

What callers saw: a service without a primary until a claim had expired, 7.5 s and more, though the host that made the claim had ended its attempt and knew it.

Cause: an open claim counted as somebody's running attempt also for its own holder. Class of fault: a timeout that stands for news which the process has itself. Any absence of the store during a takeover shows it, not only a restore.

Change: the holder claims anew as soon as its attempt has ended without a record of it. Safe by the argument that lets any host claim after the lease: the row has all commands that may be pending, and the ended attempt sends no more. Weighed: writing the end row again later (one more state of a row; must not list replicas as resumed that were not).

Test first: attempt_whose_end_is_not_recorded_is_repeated failed (84 passed, 1 failed), 85 pass. The random walks follow the rule: a million walks pass.

--- a/coordination/group_walk_hosts_test.cc
+++ b/coordination/group_walk_hosts_test.cc
@@ -73,7 +73,9 @@
 void group_walk::claim(host_state& host)
 {
     bool claim_open = row_.stage_ == "claimed" || row_.stage_ == "ordered";
-    std::int64_t wait = claim_open ? 7500 : 1500;
+    // Its own attempt has ended, and the row does not say so.
+    bool is_own = claim_open && host.row_.token_ == host.token_;
+    std::int64_t wait = is_own ? 0 : claim_open ? 7500 : 1500;
     if (host.row_received_at_ != never && now_ - host.row_received_at_ < wait)
         return;
     takeover_row next =
--- a/coordination/takeover_trigger.cc
+++ b/coordination/takeover_trigger.cc
@@ -36,6 +36,11 @@
     row_changed_ = now;
 }
 
+void takeover_trigger::on_end_not_recorded(std::int64_t token)
+{
+    unrecorded_end_ = token;
+}
+
 std::optional<takeover_reason>
 takeover_trigger::suspected_reason(std::int64_t delay_ms, instant now) const
 {
@@ -61,7 +66,8 @@
     bool claim_open = row_.stage_ == "claimed" || row_.stage_ == "ordered";
     if (claim_open)
     {
-        if (has_lasted(row_changed_, options_.claim_timeout_ms_ + delay_ms,
+        if (row_.token_ == unrecorded_end_ ||
+            has_lasted(row_changed_, options_.claim_timeout_ms_ + delay_ms,
                        now))
             return takeover_reason::unfinished;
         return std::nullopt;
--- a/coordination/takeover_trigger.h
+++ b/coordination/takeover_trigger.h
@@ -78,6 +78,10 @@
     void on_health(const primary_health& health, instant now);
     /// Call when the row changed; `now` is when the change was received.
     void on_row(const takeover_row& row, instant now);
+    /// Call when this host's attempt under `token` has ended and the row does
+    /// not say so. Nobody else can claim before the lease has expired, but this
+    /// host can: its attempt sends no more orders.
+    void on_end_not_recorded(std::int64_t token);
 
     /// The reason to claim now, or nullopt. `rank`: this host's place in the
     /// order of claims for the service, from 0.
@@ -97,6 +101,7 @@
     instant unlisted_since_ = never;
     takeover_row row_;
     instant row_changed_ = never;
+    std::int64_t unrecorded_end_ = 0; ///< token of the attempt; 0: none
 };
 
 } // namespace tanagerspan
--- a/node/takeover_driver.cc
+++ b/node/takeover_driver.cc
@@ -434,8 +434,16 @@
     // the attempt's own functions is on the stack.
     boost::asio::post(loop_, [attempt = std::shared_ptr<takeover>(
                                   std::move(state.attempt_))] {});
-    if (!action.keep_row_ && state.row_.token_ == state.token_)
-        write_row(state, row, [](bool) {});
+    auto on_written = [this, &state, token = state.token_](bool applied)
+    {
+        if (!applied)
+            state.trigger_.on_end_not_recorded(token);
+        schedule_tick();
+    };
+    if (action.keep_row_)
+        return on_written(false);
+    if (state.row_.token_ == state.token_)
+        write_row(state, row, on_written);
 }
 
 } // namespace tanagerspan
--- a/node/takeover_driver_test.cc
+++ b/node/takeover_driver_test.cc
@@ -2,11 +2,13 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "node/takeover_driver.h"
 #include "stand_ins/watched_store.h"
 #include "testing/check.h"
+#include "transport/monotonic_clock.h"
 
 namespace tanagerspan
 {
@@ -27,6 +29,7 @@
     CPPUNIT_TEST(row_that_a_restore_lost_is_written_back);
     CPPUNIT_TEST(claim_after_a_restore_waits_for_other_hosts);
     CPPUNIT_TEST(claim_after_a_restore_has_a_new_token);
+    CPPUNIT_TEST(attempt_whose_end_is_not_recorded_is_repeated);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::int64_t several_ticks_ms = 200;
@@ -57,6 +60,14 @@
                         1);
     }
 
+    std::optional<takeover_row> stored_row() const
+    {
+        auto row = store_.find("takeovers", "orders");
+        if (!row)
+            return std::nullopt;
+        return *decode_text<takeover_row>(row->value_);
+    }
+
     void run(std::int64_t duration_ms = several_ticks_ms)
     {
         loop_.restart();
@@ -104,10 +115,28 @@
         constexpr std::int64_t many_claims = 1000;
         restore_and_lose_primary();
         run(restore_hold_ms + several_ticks_ms);
-        auto row = store_.find("takeovers", "orders");
+        auto row = stored_row();
         CPPUNIT_ASSERT(row.has_value());
-        CPPUNIT_ASSERT(decode_text<takeover_row>(row->value_)->token_ >
-                       first_token(1) + many_claims);
+        CPPUNIT_ASSERT(row->token_ > first_token(1) + many_claims);
+    }
+
+    // Regression: a host waited until its own claim had expired, although its
+    // attempt was over; the service had no primary meanwhile.
+    void attempt_whose_end_is_not_recorded_is_repeated()
+    {
+        constexpr std::int64_t limit_ms = 4000; // half of the claim's timeout
+        driver_.on_health("orders", {.endpoint_id_ = "e-1", .leaving_ = true});
+        while (!stored_row())
+            loop_.run_one();
+        store_.set_silent(true);
+        run();
+        store_.set_silent(false);
+        std::int64_t first_token = stored_row()->token_;
+        CPPUNIT_ASSERT_EQUAL(std::string("claimed"), stored_row()->stage_);
+        instant end = monotonic_now() + limit_ms;
+        while (stored_row()->token_ == first_token && monotonic_now() < end)
+            run();
+        CPPUNIT_ASSERT(stored_row()->token_ > first_token);
     }
 };
 
