A takeover row that is written back does not prolong its claim

What callers saw: with restores of the store 7 s apart, the claim of a holder that had ended stayed open as long as they went on, and its service had no primary.

Cause: each write of a row started the time after which an open claim may be replaced, also the write back after a restore, which changes nothing.

Change: only a new token or stage counts as a change. Safe: the lease runs from the claim, so the time until another claim was only longer than needed.

Test first: unchanged_row_does_not_prolong_a_claim failed (84 passed, 1 failed), 85 pass.

--- a/coordination/takeover_trigger.cc
+++ b/coordination/takeover_trigger.cc
@@ -32,8 +32,12 @@
 
 void takeover_trigger::on_row(const takeover_row& row, instant now)
 {
+    // A row that is written back after a restore of the store is no step of
+    // the attempt, whose lease runs from its claim.
+    bool same_step = row.token_ == row_.token_ && row.stage_ == row_.stage_;
     row_ = row;
-    row_changed_ = now;
+    if (!same_step)
+        row_changed_ = now;
 }
 
 void takeover_trigger::on_end_not_recorded(std::int64_t token)
--- a/coordination/takeover_trigger.h
+++ b/coordination/takeover_trigger.h
@@ -76,7 +76,8 @@
     }
 
     void on_health(const primary_health& health, instant now);
-    /// Call when the row changed; `now` is when the change was received.
+    /// Call when the row was read or written; `now` is when. A row with the
+    /// token and stage of the last one doesn't count as a change.
     void on_row(const takeover_row& row, instant now);
     /// Call when this host's attempt under `token` has ended and the row does
     /// not say so. Nobody else can claim before the lease has expired, but this
--- a/coordination/takeover_trigger_test.cc
+++ b/coordination/takeover_trigger_test.cc
@@ -13,6 +13,8 @@
     CPPUNIT_TEST_SUITE(takeover_trigger_test);
     CPPUNIT_TEST(claim_waits_for_delay_and_rank);
     CPPUNIT_TEST(pending_order_is_claimed_immediately);
+    CPPUNIT_TEST(unchanged_row_does_not_prolong_a_claim);
+    CPPUNIT_TEST(own_attempt_without_a_recorded_end_is_repeated);
     CPPUNIT_TEST_SUITE_END();
 
     void claim_waits_for_delay_and_rank()
@@ -60,6 +62,43 @@
         trigger.on_row(row, instant{30'000});
         CPPUNIT_ASSERT(!trigger.check(0, instant{60'000}));
     }
+
+    // Regression: a claim that was written back after a restore of the store
+    // counted as a new one, so that the holder's end was noticed later with
+    // each restore.
+    void unchanged_row_does_not_prolong_a_claim()
+    {
+        takeover_trigger trigger({});
+        takeover_row row{.token_ = 1, .holder_ = "h", .stage_ = "claimed"};
+        trigger.on_row(row, instant{1000});
+        row.ordered_age_ms_ = 5000;
+        trigger.on_row(row, instant{6000});
+        CPPUNIT_ASSERT(!trigger.check(0, instant{8499}));
+        CPPUNIT_ASSERT(trigger.check(0, instant{8500}) ==
+                       takeover_reason::unfinished);
+        row.token_ = 2;
+        trigger.on_row(row, instant{8500});
+        CPPUNIT_ASSERT(!trigger.check(0, instant{15'999}));
+        row.stage_ = "ordered";
+        trigger.on_row(row, instant{15'000});
+        CPPUNIT_ASSERT(!trigger.check(0, instant{22'499}));
+        CPPUNIT_ASSERT(trigger.check(0, instant{22'500}) ==
+                       takeover_reason::unfinished);
+    }
+
+    void own_attempt_without_a_recorded_end_is_repeated()
+    {
+        takeover_trigger trigger({});
+        trigger.on_row({.token_ = 1, .holder_ = "h", .stage_ = "claimed"},
+                       instant{1000});
+        CPPUNIT_ASSERT(!trigger.check(0, instant{1100}));
+        trigger.on_end_not_recorded(1);
+        CPPUNIT_ASSERT(trigger.check(0, instant{1100}) ==
+                       takeover_reason::unfinished);
+        trigger.on_row({.token_ = 2, .holder_ = "i", .stage_ = "claimed"},
+                       instant{1200});
+        CPPUNIT_ASSERT(!trigger.check(0, instant{1300}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(takeover_trigger_test);
