--- a/coordination/takeover_test.cc
+++ b/coordination/takeover_test.cc
@@ -2,10 +2,7 @@
 // lost or late and whichever endpoints are down, the promoted log contains
 // every acknowledged change.
 
-#include <deque>
-
-#include "coordination/group_model_test.h"
-#include "coordination/takeover.h"
+#include "coordination/takeover_run_test.h"
 #include "testing/check.h"
 
 namespace tanagerspan
@@ -38,83 +35,6 @@
     CPPUNIT_TEST(unknown_primary_steps_down_while_order_is_pending);
     CPPUNIT_TEST_SUITE_END();
 
-    struct run_result
-    {
-        std::optional<std::string> ordered_;
-        std::vector<std::string> resumed_;
-        std::string end_reason_;
-    };
-
-    /// Runs an attempt to its end. `step` is called between two actions and may
-    /// change the group.
-    template <class Step>
-    static run_result
-    run_attempt(group_model& group, takeover_reason reason, Step step,
-                std::optional<std::string> ordered_before = std::nullopt)
-    {
-        run_result out;
-        instant now{1000};
-        takeover attempt(
-            {}, {.reason_ = reason,
-                 .primary_id_ = group.primary_,
-                 .members_ = {{"p", reason == takeover_reason::leaving},
-                              {"a"},
-                              {"b"}},
-                 .pending_ = {.ordered_ = std::move(ordered_before)},
-                 .claimed_at_ = now});
-        std::deque<takeover_action> queue;
-        auto add = [&queue](const std::vector<takeover_action>& more)
-        {
-            queue.insert(queue.end(), more.begin(), more.end());
-        };
-        add(attempt.start(now));
-        for (int i = 0; i < 2000 && !attempt.finished(); ++i)
-        {
-            step(group);
-            if (queue.empty())
-            {
-                now = now + 10;
-                add(attempt.tick(now));
-                continue;
-            }
-            takeover_action next = queue.front();
-            queue.pop_front();
-            const std::string& id = next.endpoint_id_;
-            if (next.kind_ == kind::pause)
-                group.pause(id, next.term_);
-            if (next.kind_ == kind::step_down)
-                group.step_down(id, next.term_);
-            if (next.kind_ == kind::pause || next.kind_ == kind::ask_status ||
-                next.kind_ == kind::step_down)
-                add(attempt.on_status(id, group.status(id), now));
-            if (next.kind_ == kind::record_target)
-                add(attempt.on_target_recorded(true, now));
-            if (next.kind_ == kind::record_end)
-                add(attempt.on_end_recorded(true, now));
-            if (next.kind_ == kind::resume)
-            {
-                out.resumed_.push_back(id);
-                group.resume(id);
-                add(attempt.on_status(id, group.status(id), now));
-            }
-            if (next.kind_ == kind::finish)
-                out.end_reason_ = next.detail_;
-            if (next.kind_ == kind::order)
-            {
-                out.ordered_ = id;
-                step(group);
-                group.promote(id);
-                add(attempt.on_ordered(takeover::order_outcome::done, now));
-            }
-        }
-        for (const auto& remaining : queue)
-        {
-            if (remaining.kind_ == kind::finish)
-                out.end_reason_ = remaining.detail_;
-        }
-        return out;
-    }
-
     /// An attempt that has sent its first status statements, at 0 ms.
     static takeover started(takeover_reason reason,
                             std::vector<takeover_member> members,
