A silent replica does not hold up the replacement of a stepped-down primary

Cause: all listed endpoints had to confirm a pause before the choice was asked, which knows by itself whether a log that can't be seen matters: the log of a primary that stepped down is complete, so a replica that reached its end can be promoted whatever others hold. Class of fault: a condition stated twice, once stricter than the proof needs. Ruled out: the choice itself.

Change: an endpoint without an answer no longer holds up the choice. While there is one, the attempt doesn't give up for what the choice lacks, as before.

--- a/coordination/takeover_order.cc
+++ b/coordination/takeover_order.cc
@@ -94,15 +94,18 @@
 takeover::actions takeover::check_paused(instant now)
 {
     // The logs can be compared only once all replicas are paused, since they
-    // may grow until then.
+    // may grow until then. A replica without an answer may be gone; whether its
+    // log matters is left to the choice.
     bool awaiting_pause = false;
+    bool awaiting_silent = false;
     bool awaiting_answer = false;
     for (const member_state* member : replicas())
     {
         bool primary = stepped_down_ && member->info_.id_ == task_.primary_id_;
         bool paused = member->answered_ && member->paused_at_ >= phase_since_;
-        awaiting_pause =
-            awaiting_pause || (!primary && member->info_.listed_ && !paused);
+        bool unpaused = !primary && member->info_.listed_ && !paused;
+        awaiting_pause = awaiting_pause || (unpaused && !member->failed_);
+        awaiting_silent = awaiting_silent || (unpaused && member->failed_);
         awaiting_answer = awaiting_answer || (!member->info_.listed_ &&
                                               !paused && !member->failed_);
     }
@@ -112,7 +115,8 @@
     promotion_choice choice = choose_promotion(collect_evidence(now));
     if (choice.id_.empty())
     {
-        bool may_change = choice.why_not_ == promotion_obstacle::log_may_grow ||
+        bool may_change = awaiting_silent ||
+                          choice.why_not_ == promotion_obstacle::log_may_grow ||
                           choice.why_not_ == promotion_obstacle::log_unknown;
         if (may_change)
             return {};
--- a/coordination/takeover_test.cc
+++ b/coordination/takeover_test.cc
@@ -17,6 +17,8 @@
     CPPUNIT_TEST_SUITE(takeover_test);
     CPPUNIT_TEST(crashed_primary_is_replaced_by_longest_log);
     CPPUNIT_TEST(no_promotion_while_a_replica_does_not_answer);
+    CPPUNIT_TEST(leaving_primary_is_replaced_beside_a_silent_replica);
+    CPPUNIT_TEST(replica_behind_a_leaving_primary_is_not_promoted);
     CPPUNIT_TEST(answering_primary_is_kept);
     CPPUNIT_TEST(primary_without_receiving_replicas_is_replaced);
     CPPUNIT_TEST(joining_endpoint_confirms_no_lost_change);
@@ -115,6 +117,30 @@
         CPPUNIT_ASSERT(!group.find("a").paused_);
     }
 
+    // Regression: an attempt that had stepped the primary down waited for the
+    // pause of a replica that was gone, while the service had no primary.
+    void leaving_primary_is_replaced_beside_a_silent_replica()
+    {
+        group_model group;
+        group.commit("a");
+        group.find("b").running_ = false;
+        auto run = run_attempt(group, takeover_reason::leaving, no_events);
+        CPPUNIT_ASSERT(run.ordered_ == "a");
+        CPPUNIT_ASSERT(group.find("a").log_ >= group.acknowledged_);
+    }
+
+    // The change is in the log of the silent replica only, beside that of the
+    // primary, which may end before it can pass the change on.
+    void replica_behind_a_leaving_primary_is_not_promoted()
+    {
+        group_model group;
+        group.commit("b");
+        group.find("a").receives_ = false;
+        group.find("b").running_ = false;
+        auto run = run_attempt(group, takeover_reason::leaving, no_events);
+        CPPUNIT_ASSERT(run.ordered_ != "a");
+    }
+
     void answering_primary_is_kept()
     {
         for (auto reason : {takeover_reason::silent, takeover_reason::stuck,
