Only an attempt that recorded no order is repeated at once by its host

The walk: the order for one endpoint is recorded and sent late, the holder claims again at once and steps the primary down, and the earlier late order for that primary, which the row no longer names, promotes it again before the last order arrives. The 7.5 s of waiting had kept the two apart.

Change: after an order the host waits as the others do. Where no order was recorded the row names all that may be pending, as it did when the attempt began.

Test: own_attempt_without_a_recorded_end_is_repeated has the recorded order, which fails on the code before by its text (the condition took both stages).

--- a/coordination/group_walk_hosts_test.cc
+++ b/coordination/group_walk_hosts_test.cc
@@ -73,8 +73,8 @@
 void group_walk::claim(host_state& host)
 {
     bool claim_open = row_.stage_ == "claimed" || row_.stage_ == "ordered";
-    // Its own attempt has ended, and the row does not say so.
-    bool is_own = claim_open && host.row_.token_ == host.token_;
+    // Its own attempt has ended without an order, and the row does not say so.
+    bool is_own = row_.stage_ == "claimed" && host.row_.token_ == host.token_;
     std::int64_t wait = is_own ? 0 : claim_open ? 7500 : 1500;
     if (host.row_received_at_ != never && now_ - host.row_received_at_ < wait)
         return;
--- a/coordination/takeover_trigger.cc
+++ b/coordination/takeover_trigger.cc
@@ -70,7 +70,11 @@
     bool claim_open = row_.stage_ == "claimed" || row_.stage_ == "ordered";
     if (claim_open)
     {
-        if (row_.token_ == unrecorded_end_ ||
+        // An order of the ended attempt may be pending beside earlier ones,
+        // which the row no longer names.
+        bool ended_without_order =
+            row_.stage_ == "claimed" && row_.token_ == unrecorded_end_;
+        if (ended_without_order ||
             has_lasted(row_changed_, options_.claim_timeout_ms_ + delay_ms,
                        now))
             return takeover_reason::unfinished;
--- a/coordination/takeover_trigger.h
+++ b/coordination/takeover_trigger.h
@@ -80,8 +80,8 @@
     /// token and stage of the last one doesn't count as a change.
     void on_row(const takeover_row& row, instant now);
     /// Call when this host's attempt under `token` has ended and the row does
-    /// not say so. Nobody else can claim before the lease has expired, but this
-    /// host can: its attempt sends no more orders.
+    /// not say so. If the attempt recorded no order, this host need not wait
+    /// until the claim expires.
     void on_end_not_recorded(std::int64_t token);
 
     /// The reason to claim now, or nullopt. `rank`: this host's place in the
--- a/coordination/takeover_trigger_test.cc
+++ b/coordination/takeover_trigger_test.cc
@@ -89,12 +89,16 @@
     void own_attempt_without_a_recorded_end_is_repeated()
     {
         takeover_trigger trigger({});
-        trigger.on_row({.token_ = 1, .holder_ = "h", .stage_ = "claimed"},
-                       instant{1000});
+        takeover_row row{.token_ = 1, .holder_ = "h", .stage_ = "claimed"};
+        trigger.on_row(row, instant{1000});
         CPPUNIT_ASSERT(!trigger.check(0, instant{1100}));
         trigger.on_end_not_recorded(1);
         CPPUNIT_ASSERT(trigger.check(0, instant{1100}) ==
                        takeover_reason::unfinished);
+        // Its order may be pending.
+        row.stage_ = "ordered";
+        trigger.on_row(row, instant{1200});
+        CPPUNIT_ASSERT(!trigger.check(0, instant{8699}));
         trigger.on_row({.token_ = 2, .holder_ = "i", .stage_ = "claimed"},
                        instant{1200});
         CPPUNIT_ASSERT(!trigger.check(0, instant{1300}));
