A restore does not bring back an endpoint that has left

The entry of a replica that left at 8.75 s came back with the store at 19.2 s and stayed; takeovers waited for it, and statements were sent to it when no primary was known.

Cause: whether an endpoint exists was read from the store alone, also where this host had seen it leave.

Change: an endpoint whose entry was removed after its leave is remembered for ten minutes; its entry is ignored unless it started anew.

The stand-in of the store can remove rows now.

--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -214,6 +214,13 @@
                  {{"endpoint", id}, {"detail", entry.error().detail_}});
         return false;
     }
+    if (has_left(*entry))
+    {
+        rejected_versions_[id] = row.version_;
+        log_line(log_level::info, "endpoint_entry_ignored",
+                 {{"endpoint", id}, {"reason", "the endpoint has left"}});
+        return false;
+    }
     rejected_versions_.erase(id);
     entry->read_late_ms_ = endpoints_.read_late_ms();
     // A leave is final until the endpoint restarts. An entry without it is one
@@ -225,6 +232,39 @@
     return true;
 }
 
+bool fleet_control::has_left(const endpoint_entry& entry) const
+{
+    auto left = left_.find(entry.id_);
+    return left != left_.end() && left->second.started_ms_ == entry.started_ms_;
+}
+
+void fleet_control::remove_expired_entries(instant now)
+{
+    for (auto since = missing_since_.begin(); since != missing_since_.end();)
+    {
+        auto entry = entries_.find(since->first);
+        bool expired = now - since->second >= options_.keep_missing_entry_ms_;
+        if (!expired && entry != entries_.end())
+        {
+            ++since;
+            continue;
+        }
+        if (entry != entries_.end())
+        {
+            if (entry->second.leaving_)
+                left_[entry->first] = {entry->second.started_ms_, now};
+            entries_.erase(entry);
+        }
+        since = missing_since_.erase(since);
+    }
+    std::erase_if(left_,
+                  [&](const auto& one)
+                  {
+                      return now - one.second.removed_at_ >
+                             options_.remember_left_ms_;
+                  });
+}
+
 void fleet_control::publish_endpoints()
 {
     // A plan made before settings, endpoints and hosts are all known would
@@ -235,17 +275,7 @@
         return;
     instant now = monotonic_now();
     auto list = std::make_shared<endpoint_list>();
-    std::erase_if(entries_,
-                  [&](const auto& entry)
-                  {
-                      auto since = missing_since_.find(entry.first);
-                      bool expired = since != missing_since_.end() &&
-                                     now - since->second >=
-                                         options_.keep_missing_entry_ms_;
-                      if (expired)
-                          missing_since_.erase(since);
-                      return expired;
-                  });
+    remove_expired_entries(now);
     for (const auto& [id, entry] : entries_)
         list->push_back(entry);
     auto plan = make_home_plan();
--- a/node/fleet_control.h
+++ b/node/fleet_control.h
@@ -45,6 +45,9 @@
         /// expire while the store is unavailable and are written again within
         /// about two seconds.
         std::int64_t keep_missing_entry_ms_ = 2500;
+        /// How long an endpoint that left is remembered. A copy from which the
+        /// store comes back is some seconds old.
+        std::int64_t remember_left_ms_ = 600'000;
         /// A confirmed change of the settings takes effect within this time,
         /// if the store answers.
         std::int64_t settings_bound_ms_ = 3000;
@@ -105,8 +108,12 @@
     home_plan_ptr make_home_plan();
     void on_takeover_rows(const rows& current);
     /// Updates the entry of endpoint `id` from its row. Returns false if the
-    /// row cannot be parsed.
+    /// row cannot be parsed or is that of an endpoint that left.
     bool update_entry(const std::string& id, const table_row& row);
+    /// Whether a restore of the store brought back the entry of an endpoint
+    /// that left and was gone.
+    bool has_left(const endpoint_entry& entry) const;
+    void remove_expired_entries(instant now);
     void publish_endpoints();
     void schedule_expiry();
 
@@ -121,8 +128,15 @@
     boost::asio::steady_timer expiry_timer_;
     std::map<std::string, endpoint_entry> entries_;
     std::map<std::string, instant> missing_since_;
-    /// Versions of rows that could not be parsed, by endpoint id.
+    /// Versions of rows that are not used, by endpoint id.
     std::map<std::string, std::int64_t> rejected_versions_;
+    struct left_endpoint
+    {
+        std::int64_t started_ms_ = 0;
+        instant removed_at_ = never;
+    };
+    /// Endpoints whose entries were removed after their leave.
+    std::map<std::string, left_endpoint> left_;
     std::vector<fleet_host> live_hosts_;
     home_planner planner_;
     bool endpoints_listed_ = false;
--- a/node/fleet_control_test.cc
+++ b/node/fleet_control_test.cc
@@ -18,6 +18,7 @@
 // Shorter than in use, to shorten the tests.
 constexpr std::int64_t drain_ms = 3000;
 constexpr std::int64_t takeover_bound_ms = 3000;
+constexpr std::int64_t keep_missing_entry_ms = 300;
 constexpr std::int64_t quick_ms = 500;
 
 struct no_promotions final : promotion_service
@@ -53,6 +54,9 @@
     CPPUNIT_TEST(settings_are_read_after_a_restore);
     CPPUNIT_TEST(leave_outlasts_a_restore);
     CPPUNIT_TEST(restarted_endpoint_is_not_leaving);
+    CPPUNIT_TEST(restore_does_not_bring_back_an_endpoint_that_left);
+    CPPUNIT_TEST(restore_brings_back_an_entry_that_lapsed);
+    CPPUNIT_TEST(endpoint_that_left_can_start_again);
     CPPUNIT_TEST(lost_takeover_row_is_written_back);
     CPPUNIT_TEST(earlier_takeover_row_is_replaced);
     CPPUNIT_TEST(later_takeover_row_is_kept);
@@ -77,6 +81,8 @@
                                                .endpoints_table_ = "endpoints",
                                                .parse_routes_ = parse_version,
                                                .parse_endpoint_ = parse_state},
+                                   .keep_missing_entry_ms_ =
+                                       keep_missing_entry_ms,
                                    .drain_ms_ = drain_ms,
                                    .takeover_bound_ms_ = takeover_bound_ms},
             fleet_control::outputs{
@@ -263,6 +269,53 @@
                       });
     }
 
+    /// One endpoint leaves and is gone; the copy of the store is older.
+    void lose_endpoint_after_copy(const std::string& last_entry)
+    {
+        store_.put("endpoints", "e-1", "ready");
+        start_with_settings("1");
+        store_.save_copy();
+        store_.put("endpoints", "e-1", last_entry);
+        run_for(quick_ms + 100);
+        CPPUNIT_ASSERT(!endpoints_.empty());
+        store_.remove("endpoints", "e-1");
+        assert_within(2 * keep_missing_entry_ms + drain_ms,
+                      [this]
+                      {
+                          return endpoints_.empty();
+                      });
+    }
+
+    // Regression: the entry from the copy counted as a member of its group,
+    // whose takeovers then waited for an endpoint that was gone.
+    void restore_does_not_bring_back_an_endpoint_that_left()
+    {
+        lose_endpoint_after_copy("leaving");
+        store_.restore();
+        run_for(quick_ms);
+        CPPUNIT_ASSERT(endpoints_.empty());
+    }
+
+    // An endpoint whose entry lapsed without a leave may be running.
+    void restore_brings_back_an_entry_that_lapsed()
+    {
+        lose_endpoint_after_copy("ready");
+        store_.restore();
+        run_for(quick_ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoints_.size());
+    }
+
+    void endpoint_that_left_can_start_again()
+    {
+        lose_endpoint_after_copy("leaving");
+        store_.put("endpoints", "e-1", "restarted");
+        assert_within(fleet_control::max_entry_delay_ms + quick_ms,
+                      [this]
+                      {
+                          return endpoints_.size() == 1;
+                      });
+    }
+
     // Regression: after a restore without the row of a takeover, each claim
     // expected the row's lost version, and no primary could be promoted.
     void lost_takeover_row_is_written_back()
--- a/stand_ins/watched_store.cc
+++ b/stand_ins/watched_store.cc
@@ -27,6 +27,13 @@
     return version();
 }
 
+void watched_store::remove(const std::string& table, const std::string& key)
+{
+    ++number_;
+    write({.table_ = table, .key_ = key, .removed_ = true});
+    answer_watches();
+}
+
 void watched_store::restore()
 {
     rows_ = copy_;
@@ -50,7 +57,7 @@
                                              const std::string& key) const
 {
     auto row = rows_.find({table, key});
-    if (row == rows_.end())
+    if (row == rows_.end() || row->second.removed_)
         return std::nullopt;
     return with_era(row->second);
 }
@@ -74,7 +81,9 @@
     std::vector<table_row> out;
     for (const auto& [key, row] : rows_)
     {
-        if (key.first == table && row.version_ > number_of(version))
+        bool removed_before = row.removed_ && version == 0;
+        if (key.first == table && row.version_ > number_of(version) &&
+            !removed_before)
             out.push_back(with_era(row));
     }
     return out;
@@ -171,10 +180,8 @@
 
 bool watched_store::holds(const row_precondition& guard) const
 {
-    auto row = rows_.find({guard.table_, guard.key_});
-    if (row == rows_.end())
-        return guard.version_ == 0;
-    return guard.version_ == make_version(era_, row->second.version_);
+    auto row = find(guard.table_, guard.key_);
+    return guard.version_ == (row ? row->version_ : 0);
 }
 
 void watched_store::transact(const table_transaction& change,
--- a/stand_ins/watched_store.h
+++ b/stand_ins/watched_store.h
@@ -42,6 +42,9 @@
     std::int64_t put(const std::string& table, const std::string& key,
                      const std::string& value);
 
+    /// Removes a row as its owner does.
+    void remove(const std::string& table, const std::string& key);
+
     /// While silent, the store drops the calls that arrive.
     void set_silent(bool silent)
     {
@@ -58,7 +61,7 @@
     /// they time out.
     void restore();
 
-    /// The row as stored; nothing if there is none.
+    /// The row as stored; nothing if there is none or it was removed.
     std::optional<table_row> find(const std::string& table,
                                   const std::string& key) const;
 
