--- a/protocol/table_store.h
+++ b/protocol/table_store.h
@@ -19,6 +19,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <string>
 #include <utility>
 #include <vector>
@@ -31,6 +32,10 @@
 /// The highest number of a transaction in one era is below this value.
 constexpr std::int64_t versions_per_era = std::int64_t{1} << 42;
 
+/// The highest era that has a place in a version.
+constexpr std::int64_t highest_era =
+    std::numeric_limits<std::int64_t>::max() / versions_per_era - 1;
+
 constexpr std::int64_t make_version(std::int64_t era, std::int64_t number)
 {
     return era * versions_per_era + number;
