--- a/coordination/takeover.h
+++ b/coordination/takeover.h
@@ -10,7 +10,8 @@
 //
 //   - A primary that answers is first told to step down, and nothing is
 //     acknowledged from then on. Writes wait for the second that the promotion
-//     takes.
+//     takes. Its log is then complete, so a replica without an answer does not
+//     hold up the promotion of one that has reached the end of that log.
 //   - A primary that does not answer cannot be made to step down. Replication
 //     to its replicas is paused instead, so that they confirm nothing more, and
 //     their logs are compared.
