Log from when a leave counts and when an endpoint's use ends

The log could not tell a request that a host allowed after the drain period from one that it had granted in time and that arrived late. Two lines, one per host, endpoint and leave: endpoint_leaving (since when the leave counts, how much longer the endpoint is used) and endpoint_use_ended.

--- a/node/endpoint_group.cc
+++ b/node/endpoint_group.cc
@@ -65,10 +65,13 @@
             (*same)->not_primary_until_ = never;
         if (!entry.leaving_)
             (*same)->leaving_since_ = never;
-        else if ((*same)->leaving_since_ == never)
+        bool new_leave = entry.leaving_ && (*same)->leaving_since_ == never;
+        if (new_leave)
             (*same)->leaving_since_ = now - entry.read_late_ms_;
         (*same)->entry_ = entry;
         (*same)->listed_ = true;
+        if (new_leave)
+            log_leave(**same, now);
     }
     for (auto& endpoint : endpoints_)
     {
--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -224,6 +224,7 @@
         instant avoided_until_ = never;
         instant full_until_ = never;
         instant leaving_since_ = never;
+        bool drained_ = false; ///< its use has ended, and this was logged
         instant not_primary_until_ = never;
         double lag_ms_ = initial_lag_ms;
         instant last_answer_ = never;
@@ -277,6 +278,8 @@
     }
     void close_idle(endpoint_state& endpoint, instant now);
     void update_primary_reachability(instant now);
+    void log_leave(const endpoint_state& endpoint, instant now) const;
+    void log_end_of_use(endpoint_state& endpoint, instant now) const;
     void close_late_links(instant now);
     void renew_mark(instant now);
     void request_mark(const link_ptr& link);
