The use of a leaving endpoint ends by the confirmation of its leave

Cause: a time that starts when a change is read, where the promise starts when it was confirmed. Only failed calls were deducted; a watch that a cut held up for 3 s did not fail. Class of fault: the arrival of an answer is taken for its age.

What a host knows for certain: a change is younger than the last proof that its copy was complete. A list is no proof (it may be old after a loss of history), nor is an answer in the 2.5 s after a restore, when rows are written a second time. The use ends one drain period (from the settings file) after the proof, less the time in which a granted statement reaches its endpoint. The constant of 4,500 ms, which fitted a drain period of 7 s only, is gone, and with it the test that added three constants up. A host that finds an endpoint leaving when it starts gives it no new work: it cannot know since when.

New with it: endpoint_that_left_before_the_start_gets_no_work, leave_that_is_written_again_counts_from_before_the_restore, changes_are_never_dated_after_they_were_made (random plays).

--- a/node/endpoint_group.cc
+++ b/node/endpoint_group.cc
@@ -63,15 +63,8 @@
         }
         else if ((*same)->entry_.primary_ != entry.primary_)
             (*same)->not_primary_until_ = never;
-        if (!entry.leaving_)
-            (*same)->leaving_since_ = never;
-        bool new_leave = entry.leaving_ && (*same)->leaving_since_ == never;
-        if (new_leave)
-            (*same)->leaving_since_ = now - entry.read_late_ms_;
         (*same)->entry_ = entry;
         (*same)->listed_ = true;
-        if (new_leave)
-            log_leave(**same, now);
     }
     for (auto& endpoint : endpoints_)
     {
@@ -218,9 +211,12 @@
 bool endpoint_group::accepts_work(const endpoint_state& endpoint,
                                   instant now) const
 {
-    return endpoint.listed_ &&
-           (endpoint.leaving_since_ == never ||
-            now - endpoint.leaving_since_ < options_.leaving_grace_ms_);
+    return endpoint.listed_ && !is_drained(endpoint, now);
+}
+
+bool endpoint_group::is_drained(const endpoint_state& endpoint, instant now)
+{
+    return endpoint.entry_.leaving_ && now >= endpoint.entry_.use_until_;
 }
 
 bool endpoint_group::may_open_link(const endpoint_state& endpoint,
--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -93,11 +93,6 @@
         /// the connections unused, all hosts can connect again after a common
         /// power failure.
         std::int64_t max_idle_ms_ = 3000;
-        /// An endpoint gets no new work this long after its entry said that
-        /// it is leaving: the shortest drain period of 7 s, less the longest
-        /// interval between reads of the entries (`fleet_control`), less the
-        /// duration of a call to a busy store.
-        std::int64_t leaving_grace_ms_ = 4500;
         /// The limit of connections to an endpoint that are being set up at
         /// the same time, because each of them takes a slot.
         std::size_t max_opening_links_ = 1;
@@ -223,7 +218,6 @@
         bool backlogged_ = false; ///< requests wait that it may run
         instant avoided_until_ = never;
         instant full_until_ = never;
-        instant leaving_since_ = never;
         bool drained_ = false; ///< its use has ended, and this was logged
         instant not_primary_until_ = never;
         double lag_ms_ = initial_lag_ms;
@@ -278,8 +272,8 @@
     }
     void close_idle(endpoint_state& endpoint, instant now);
     void update_primary_reachability(instant now);
-    void log_leave(const endpoint_state& endpoint, instant now) const;
-    void log_end_of_use(endpoint_state& endpoint, instant now) const;
+    static bool is_drained(const endpoint_state& endpoint, instant now);
+    static void log_end_of_use(endpoint_state& endpoint, instant now);
     void close_late_links(instant now);
     void renew_mark(instant now);
     void request_mark(const link_ptr& link);
--- a/node/endpoint_group_upkeep.cc
+++ b/node/endpoint_group_upkeep.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "node/endpoint_group.h"
-#include "protocol/table_store.h"
 #include "transport/json_log.h"
 #include "transport/monotonic_clock.h"
 
@@ -118,22 +117,9 @@
     }
 }
 
-void endpoint_group::log_leave(const endpoint_state& endpoint,
-                               instant now) const
+void endpoint_group::log_end_of_use(endpoint_state& endpoint, instant now)
 {
-    std::int64_t counted_ms = now - endpoint.leaving_since_;
-    log_line(log_level::info, "endpoint_leaving",
-             {{"service", endpoint.entry_.service_},
-              {"endpoint", endpoint.entry_.id_},
-              {"row_version", number_of(endpoint.entry_.row_version_)},
-              {"counted_since_ms_ago", counted_ms},
-              {"use_ends_in_ms", options_.leaving_grace_ms_ - counted_ms}});
-}
-
-void endpoint_group::log_end_of_use(endpoint_state& endpoint, instant now) const
-{
-    bool drained = endpoint.leaving_since_ != never &&
-                   now - endpoint.leaving_since_ >= options_.leaving_grace_ms_;
+    bool drained = is_drained(endpoint, now);
     if (drained == std::exchange(endpoint.drained_, drained) || !drained)
         return;
     log_line(log_level::info, "endpoint_use_ended",
--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -15,10 +15,9 @@
 // Changes come in bursts: settings may change many times in a row, and
 // endpoints start or expire together. A delay before the next watch batches
 // several changes into one call. The delays are bounded by two deadlines:
-// settings must take effect within three seconds, and a leaving endpoint
-// serves for at least seven seconds, of which `leaving_grace_ms_` in
-// endpoint_group leaves room for the longest delay. A new primary is announced
-// by another table, which is watched without a delay.
+// settings must take effect within three seconds, and a leaving primary is to
+// be replaced within its drain period. A new primary is announced by another
+// table, which is watched without a delay.
 constexpr std::int64_t settings_delay_ms = 100;
 constexpr std::int64_t max_settings_delay_ms = 800;
 constexpr std::int64_t entry_delay_ms = 500;
@@ -43,7 +42,7 @@
                              outputs handlers)
     : store_(store), options_(std::move(opts)), outputs_(std::move(handlers)),
       settings_(
-          loop, store,
+          loop, store_,
           {.table_ = options_.format_.settings_table_,
            .answer_interval_ms_ = answer_interval(options_.settings_bound_ms_),
            .initial_delay_ms_ = settings_delay_ms,
@@ -53,7 +52,7 @@
           {
               on_settings(current);
           }),
-      endpoints_(loop, store,
+      endpoints_(loop, store_,
                  {.table_ = options_.format_.endpoints_table_,
                   .answer_interval_ms_ = answer_interval(options_.drain_ms_),
                   .initial_delay_ms_ = entry_delay_ms,
@@ -63,13 +62,13 @@
                  {
                      on_endpoints(current);
                  }),
-      hosts_(loop, store, {.table_ = hosts_table, .own_ = options_.own_},
+      hosts_(loop, store_, {.table_ = hosts_table, .own_ = options_.own_},
              [this](const std::vector<fleet_host>& live)
              {
                  on_hosts(live);
              }),
       takeover_rows_(
-          loop, store,
+          loop, store_,
           {.table_ = promotions_table,
            .answer_interval_ms_ = answer_interval(options_.takeover_bound_ms_),
            .seed_ = options_.seed_},
@@ -77,7 +76,7 @@
           {
               on_takeover_rows(current);
           }),
-      takeovers_(loop, store, promotions,
+      takeovers_(loop, store_, promotions,
                  {.host_name_ = options_.own_.name_,
                   .table_ = promotions_table,
                   .codec_ = options_.codec_,
@@ -222,16 +221,44 @@
         return false;
     }
     rejected_versions_.erase(id);
-    entry->read_late_ms_ = endpoints_.read_late_ms();
     // A leave is final until the endpoint restarts. An entry without it is one
     // that a restore of the store brought back.
-    if (existing != entries_.end() && existing->second.leaving_ &&
-        existing->second.started_ms_ == entry->started_ms_)
+    bool leave_is_known = existing != entries_.end() &&
+                          existing->second.leaving_ &&
+                          existing->second.started_ms_ == entry->started_ms_;
+    if (leave_is_known)
+    {
         entry->leaving_ = true;
+        entry->use_until_ = existing->second.use_until_;
+    }
+    else if (entry->leaving_)
+    {
+        entry->use_until_ = end_of_use(endpoints_.changed_since());
+        log_leave(*entry);
+    }
     entries_[id] = std::move(*entry);
     return true;
 }
 
+instant fleet_control::end_of_use(instant since) const
+{
+    return since + (options_.drain_ms_ - options_.delivery_ms_);
+}
+
+void fleet_control::log_leave(const endpoint_entry& entry) const
+{
+    constexpr std::int64_t unknown = -1;
+    instant now = monotonic_now();
+    instant since = endpoints_.changed_since();
+    log_line(log_level::info, "endpoint_leaving",
+             {{"service", entry.service_},
+              {"endpoint", entry.id_},
+              {"row_version", number_of(entry.row_version_)},
+              {"counted_since_ms_ago", since == never ? unknown : now - since},
+              {"use_ends_in_ms",
+               std::max<std::int64_t>(0, entry.use_until_ - now)}});
+}
+
 bool fleet_control::has_left(const endpoint_entry& entry) const
 {
     auto left = left_.find(entry.id_);
--- a/node/fleet_control.h
+++ b/node/fleet_control.h
@@ -26,6 +26,7 @@
 #include "node/host_directory.h"
 #include "node/table_feed.h"
 #include "node/takeover_driver.h"
+#include "node/timed_store.h"
 #include "protocol/catalogue_format.h"
 #include "protocol/table_store.h"
 #include "state/service_catalogue.h"
@@ -51,8 +52,12 @@
         /// A confirmed change of the settings takes effect within this time,
         /// if the store answers.
         std::int64_t settings_bound_ms_ = 3000;
-        /// An endpoint stays at least this long after its leave.
+        /// An endpoint stays at least this long after the store confirmed its
+        /// leave.
         std::int64_t drain_ms_ = 7000;
+        /// Within this time a statement for which a connection was granted has
+        /// reached its endpoint.
+        std::int64_t delivery_ms_ = 500;
         /// A change of primary is over within this time. A host that lost a
         /// watch of the takeover rows takes part again by then.
         std::int64_t takeover_bound_ms_ = 20'000;
@@ -110,6 +115,10 @@
     /// Updates the entry of endpoint `id` from its row. Returns false if the
     /// row cannot be parsed or is that of an endpoint that left.
     bool update_entry(const std::string& id, const table_row& row);
+    /// When the use of an endpoint ends that left or was removed after
+    /// `since`.
+    instant end_of_use(instant since) const;
+    void log_leave(const endpoint_entry& entry) const;
     /// Whether a restore of the store brought back the entry of an endpoint
     /// that left and was gone.
     bool has_left(const endpoint_entry& entry) const;
@@ -117,7 +126,7 @@
     void publish_endpoints();
     void schedule_expiry();
 
-    table_store& store_;
+    timed_store store_;
     options options_;
     outputs outputs_;
     table_feed settings_;
--- a/node/fleet_control_test.cc
+++ b/node/fleet_control_test.cc
@@ -17,6 +17,7 @@
 constexpr std::int64_t settings_bound_ms = 3000;
 // Shorter than in use, to shorten the tests.
 constexpr std::int64_t drain_ms = 3000;
+constexpr std::int64_t delivery_ms = 500;
 constexpr std::int64_t takeover_bound_ms = 3000;
 constexpr std::int64_t keep_missing_entry_ms = 300;
 constexpr std::int64_t quick_ms = 500;
@@ -50,6 +51,10 @@
     CPPUNIT_TEST_SUITE(fleet_control_test);
     CPPUNIT_TEST(settings_are_applied_in_time_after_a_lost_watch);
     CPPUNIT_TEST(leave_is_read_in_time_after_a_lost_watch);
+    CPPUNIT_TEST(leave_behind_a_held_up_watch_counts_from_before);
+    CPPUNIT_TEST(leave_that_is_read_at_once_leaves_time_for_a_takeover);
+    CPPUNIT_TEST(endpoint_that_left_before_the_start_gets_no_work);
+    CPPUNIT_TEST(leave_that_is_written_again_counts_from_before_the_restore);
     CPPUNIT_TEST(takeover_is_read_in_time_after_a_lost_watch);
     CPPUNIT_TEST(settings_are_read_after_a_restore);
     CPPUNIT_TEST(leave_outlasts_a_restore);
@@ -84,6 +89,7 @@
                                    .keep_missing_entry_ms_ =
                                        keep_missing_entry_ms,
                                    .drain_ms_ = drain_ms,
+                                   .delivery_ms_ = delivery_ms,
                                    .takeover_bound_ms_ = takeover_bound_ms},
             fleet_control::outputs{
                 .routes_ =
@@ -190,8 +196,87 @@
                       {
                           return is_leaving();
                       });
-        CPPUNIT_ASSERT(endpoints_.front().read_late_ms_ >=
-                       monotonic_now() - left_at - 10);
+        assert_use_ends_in_time(left_at);
+    }
+
+    /// A statement that is allowed until the last moment reaches the endpoint
+    /// within the drain period.
+    void assert_use_ends_in_time(instant left_at) const
+    {
+        CPPUNIT_ASSERT(endpoints_.front().use_until_ <=
+                       left_at + (drain_ms - delivery_ms));
+    }
+
+    void assert_is_leaving_within(std::int64_t limit_ms)
+    {
+        assert_within(limit_ms,
+                      [this]
+                      {
+                          return is_leaving();
+                      });
+    }
+
+    // Guards against use of an endpoint after its drain period: the watch that
+    // returned the leave was held up without a failure.
+    void leave_behind_a_held_up_watch_counts_from_before()
+    {
+        constexpr std::int64_t hold_ms = 1200; // shorter than any timeout
+        store_.put("endpoints", "e-1", "ready");
+        start_with_settings("1");
+        store_.put("endpoints", "e-1", "ready");
+        run_for(100);
+        // The next watch is sent after a delay, that is, while calls are held.
+        store_.set_held(true);
+        instant left_at = monotonic_now();
+        store_.put("endpoints", "e-1", "leaving");
+        run_for(hold_ms);
+        store_.set_held(false);
+        assert_is_leaving_within(quick_ms);
+        assert_use_ends_in_time(left_at);
+    }
+
+    // A primary that leaves serves until another one is promoted.
+    void leave_that_is_read_at_once_leaves_time_for_a_takeover()
+    {
+        constexpr std::int64_t answer_interval_ms = 1000;
+        store_.put("endpoints", "e-1", "ready");
+        start_with_settings("1");
+        run_for(answer_interval_ms + quick_ms);
+        store_.put("endpoints", "e-1", "leaving");
+        assert_is_leaving_within(quick_ms);
+        CPPUNIT_ASSERT(endpoints_.front().use_until_ - monotonic_now() >=
+                       drain_ms - delivery_ms - answer_interval_ms - 50);
+    }
+
+    // Guards against use of an endpoint after its drain period by a host that
+    // starts and does not know when the endpoint's leave was confirmed.
+    void endpoint_that_left_before_the_start_gets_no_work()
+    {
+        store_.put("endpoints", "e-1", "leaving");
+        start_with_settings("1");
+        CPPUNIT_ASSERT(is_leaving());
+        CPPUNIT_ASSERT(endpoints_.front().use_until_ <= monotonic_now());
+    }
+
+    // Guards against use of an endpoint after its drain period: a restore lost
+    // the row of its leave before this host read it, and the endpoint wrote it
+    // again.
+    void leave_that_is_written_again_counts_from_before_the_restore()
+    {
+        constexpr std::int64_t rewrite_ms = 1500;
+        store_.put("endpoints", "e-1", "ready");
+        start_with_settings("1");
+        store_.put("endpoints", "e-1", "ready");
+        run_for(100);
+        store_.save_copy();
+        instant left_at = monotonic_now();
+        store_.put("endpoints", "e-1", "leaving");
+        store_.restore();
+        run_for(rewrite_ms);
+        CPPUNIT_ASSERT(!is_leaving());
+        store_.put("endpoints", "e-1", "leaving");
+        assert_is_leaving_within(fleet_control::max_entry_delay_ms + quick_ms);
+        assert_use_ends_in_time(left_at);
     }
 
     // Regression: as above, for the rows of takeovers.
--- a/node/table_feed.cc
+++ b/node/table_feed.cc
@@ -56,7 +56,6 @@
                   {"failed_calls", failed_calls_},
                   {"since_last_answer_ms", since_last_answer()}});
     }
-    read_late_ms_ = failed_calls_ > 0 ? since_last_answer() : 0;
     failed_calls_ = 0;
     answered_at_ = monotonic_now();
 }
@@ -95,6 +94,11 @@
 {
     on_answer();
     listed_ = true;
+    bool restored =
+        version() != 0 && era_of(version()) != era_of(snapshot.version_);
+    if (restored)
+        restored_at_ = snapshot.given_at_;
+    changed_since_ = complete_at_;
     version_ = snapshot.version_;
     rows_.clear();
     for (auto& row : snapshot.rows_)
@@ -125,6 +129,7 @@
                      if (answer->version_ < version())
                          return watch_for_changes();
                      version_ = answer->version_;
+                     on_complete(*answer);
                      std::size_t changes = answer->rows_.size();
                      for (auto& row : answer->rows_)
                      {
@@ -148,6 +153,15 @@
                  });
 }
 
+void table_feed::on_complete(const table_snapshot& answer)
+{
+    changed_since_ = complete_at_;
+    bool rewriting = restored_at_ != never &&
+                     answer.given_at_ - restored_at_ < options_.rewrite_ms_;
+    if (!rewriting)
+        complete_at_ = std::max<instant>(complete_at_, answer.given_at_);
+}
+
 std::int64_t table_feed::delay_after_change()
 {
     if (options_.initial_delay_ms_ <= 0)
--- a/node/table_feed.h
+++ b/node/table_feed.h
@@ -16,6 +16,13 @@
 // `table_store::answer_margin_ms` after the last answer, if the store answers
 // the next call.
 //
+// A change may have been made long before it is read, also without a failed
+// call. All that is known of its age is that it is younger than the last proof
+// that the copy was complete: an earlier answer to a watch, as of the time at
+// which the store gave it. A list is no proof, since it may be some seconds
+// old. Nor is an answer soon after a restore: a row that is written again then
+// may have been written for the first time before.
+//
 // Control thread only, except where a function says otherwise.
 
 #include <atomic>
@@ -55,6 +62,9 @@
         std::int64_t initial_backoff_ms_ = 50;
         /// Settings must take effect within 3 s.
         std::int64_t max_backoff_ms_ = 800;
+        /// After a restore of the store its clients write lost rows again
+        /// within this time.
+        std::int64_t rewrite_ms_ = 2500;
         std::uint64_t seed_ = 1; ///< for the jitter of the backoff
     };
     /// Receives the whole copy after each change.
@@ -81,11 +91,11 @@
     {
         return connected_since_;
     }
-    /// Time between the last two answers if calls failed between them, else 0:
-    /// a change in the last answer may be that old.
-    std::int64_t read_late_ms() const
+    /// The changes that the change handler receives were made after this time.
+    /// `never` if that is not known: before the first watch was answered.
+    instant changed_since() const
     {
-        return read_late_ms_;
+        return changed_since_;
     }
     /// Name of the table. Any thread.
     const std::string& table() const
@@ -117,6 +127,7 @@
     void watch_after(std::int64_t delay_ms);
     void on_failure(const failure& cause);
     void on_answer();
+    void on_complete(const table_snapshot& answer);
     std::int64_t since_last_answer() const;
     std::int64_t delay_after_change();
 
@@ -132,7 +143,10 @@
     std::int64_t backoff_ms_;
     std::int64_t next_delay_ms_;
     instant call_sent_at_ = never; ///< when the last call was sent
-    std::int64_t read_late_ms_ = 0;
+    /// The copy had all rows that the store had at this time.
+    instant complete_at_ = never;
+    instant changed_since_ = never;
+    instant restored_at_ = never;
     std::int64_t failed_calls_ = 0; ///< since the last answer
     bool listed_ = false;
     bool connected_ = false;
--- a/node/table_feed_test.cc
+++ b/node/table_feed_test.cc
@@ -5,8 +5,6 @@
 #include <thread>
 #include <vector>
 
-#include "node/endpoint_group.h"
-#include "node/fleet_control.h"
 #include "node/table_feed.h"
 #include "testing/check.h"
 #include "transport/monotonic_clock.h"
@@ -65,7 +63,8 @@
     CPPUNIT_TEST(every_watch_ends_when_the_next_answer_is_due);
     CPPUNIT_TEST(watch_answer_older_than_a_refresh_is_ignored);
     CPPUNIT_TEST(refresh_older_than_a_watch_answer_is_ignored);
-    CPPUNIT_TEST(leave_is_read_before_the_endpoint_stops);
+    CPPUNIT_TEST(age_of_a_change_is_known_from_watches_only);
+    CPPUNIT_TEST(changes_are_never_dated_after_they_were_made);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context loop_{1};
@@ -237,15 +236,122 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, feed_->version());
     }
 
-    // Regression: with longer delays, a leaving primary without a successor was
-    // still used 7.5 s after it had announced its leave.
-    void leave_is_read_before_the_endpoint_stops()
+    static table_snapshot given(std::int64_t at_ms, std::int64_t version,
+                                std::vector<table_row> rows = {})
     {
-        constexpr std::int64_t shortest_drain_ms = 7000;
-        constexpr std::int64_t busy_store_ms = 500;
-        CPPUNIT_ASSERT(endpoint_group::options{}.leaving_grace_ms_ +
-                           fleet_control::max_entry_delay_ms + busy_store_ms <=
-                       shortest_drain_ms);
+        return {.rows_ = std::move(rows),
+                .version_ = version,
+                .given_at_ = instant{at_ms}};
+    }
+
+    // The list after a loss of the store's history may be some seconds old.
+    void age_of_a_change_is_known_from_watches_only()
+    {
+        CPPUNIT_ASSERT(feed_->changed_since() == never);
+        manual_store::answer(store_.watches_, given(1000, 6));
+        manual_store::answer(store_.watches_, fail(error_code::compacted));
+        manual_store::answer(store_.lists_, given(4000, 5, {row("a")}));
+        CPPUNIT_ASSERT(feed_->changed_since() == instant{1000});
+        manual_store::answer(store_.watches_, given(4100, 7, {row("b")}));
+        CPPUNIT_ASSERT(feed_->changed_since() == instant{1000});
+        manual_store::answer(store_.watches_, given(9000, 8, {row("c")}));
+        CPPUNIT_ASSERT(feed_->changed_since() == instant{4100});
+    }
+
+    /// A store whose only row appears at `written_at_ms_`. Lists may be old,
+    /// and calls may be lost, held up or told that the history is gone.
+    struct random_play
+    {
+        manual_store store_;
+        boost::asio::io_context loop_{1};
+        std::int64_t written_at_ms_ = *rc::gen::inRange(0, 30'000);
+        std::int64_t now_ms_ = 0;
+        bool read_ = false;
+        table_feed feed_{
+            loop_,
+            store_,
+            {.table_ = "t", .initial_backoff_ms_ = 0, .max_backoff_ms_ = 0},
+            [this](const std::map<std::string, table_row>& rows)
+            {
+                if (!rows.empty() && !std::exchange(read_, true))
+                    RC_ASSERT(feed_.changed_since() <= instant{written_at_ms_});
+            }};
+
+        table_snapshot rows_at(std::int64_t at_ms, std::int64_t after) const
+        {
+            bool written = at_ms >= written_at_ms_;
+            // Other tables have changes, too: a version a millisecond.
+            std::int64_t row_version = written_at_ms_ + 1;
+            std::vector<table_row> rows;
+            if (written && row_version > after)
+                rows.push_back(
+                    {.table_ = "t", .key_ = "e", .version_ = row_version});
+            return {.rows_ = rows, .version_ = at_ms + 1};
+        }
+
+        void answer_list()
+        {
+            std::int64_t age_ms = *rc::gen::inRange<std::int64_t>(
+                0, std::min<std::int64_t>(now_ms_ + 1, 4000));
+            auto snapshot = rows_at(now_ms_ - age_ms, 0);
+            snapshot.given_at_ = instant{now_ms_};
+            manual_store::answer(store_.lists_, snapshot);
+        }
+
+        void answer_watch()
+        {
+            std::int64_t arrived_ms = now_ms_;
+            auto snapshot = rows_at(arrived_ms, store_.watches_.back().after_);
+            snapshot.version_ =
+                std::max(snapshot.version_, store_.watches_.back().after_);
+            now_ms_ += *rc::gen::inRange(0, 3000); // on the way back
+            snapshot.given_at_ = instant{arrived_ms};
+            manual_store::answer(store_.watches_, snapshot);
+        }
+
+        void step()
+        {
+            std::size_t lists = store_.lists_.size();
+            std::size_t watches = store_.watches_.size();
+            now_ms_ += *rc::gen::inRange(0, 3000);
+            if (lists_ != lists)
+            {
+                lists_ = lists;
+                return answer_list();
+            }
+            if (watches_ == watches)
+                return;
+            watches_ = watches;
+            switch (*rc::gen::inRange(0, 5))
+            {
+            case 0:
+                manual_store::answer(store_.watches_, fail(error_code::lost));
+                break;
+            case 1:
+                manual_store::answer(store_.watches_,
+                                     fail(error_code::compacted));
+                break;
+            default:
+                answer_watch();
+            }
+            loop_.restart();
+            loop_.run_for(std::chrono::milliseconds(1));
+        }
+
+        std::size_t lists_ = 0;   ///< answered so far
+        std::size_t watches_ = 0; ///< answered so far
+    };
+
+    void changes_are_never_dated_after_they_were_made()
+    {
+        CHECK_PROPERTY("changes are never dated after they were made",
+                       []
+                       {
+                           random_play play;
+                           play.feed_.start();
+                           for (int i = 0; i < 40 && !play.read_; ++i)
+                               play.step();
+                       });
     }
 };
 
--- a/protocol/table_store.h
+++ b/protocol/table_store.h
@@ -25,6 +25,7 @@
 #include <vector>
 
 #include "state/failure.h"
+#include "state/instant.h"
 
 namespace tanagerspan
 {
@@ -69,6 +70,9 @@
     std::vector<table_row> rows_;
     std::int64_t version_ = 0;
     std::int64_t now_ms_ = 0; ///< the store's own steady clock
+    /// The earliest time at which the store can have given the answer, if the
+    /// call went through a `timed_store`.
+    instant given_at_ = never;
 };
 
 /// The version that a row must have; 0 if the row must not exist.
--- a/stand_ins/watched_store.cc
+++ b/stand_ins/watched_store.cc
@@ -2,14 +2,20 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 #include <boost/asio/post.hpp>
 
+#include "transport/monotonic_clock.h"
+
 namespace tanagerspan
 {
 namespace
 {
 
+// The store's clock has another origin than that of its clients.
+constexpr std::int64_t clock_origin_ms = 77'000'000;
+
 bool is_of_other_era(std::int64_t version, std::int64_t era)
 {
     return version != 0 && era_of(version) != era;
@@ -34,6 +40,20 @@
     answer_watches();
 }
 
+void watched_store::set_held(bool held)
+{
+    held_ = held;
+    if (held_)
+        return;
+    for (const auto& call : std::exchange(held_calls_, {}))
+        call();
+}
+
+std::int64_t watched_store::clock_ms() const
+{
+    return monotonic_now().ms_ + clock_origin_ms;
+}
+
 void watched_store::restore()
 {
     rows_ = copy_;
@@ -116,7 +136,8 @@
 {
     boost::asio::post(loop_,
                       [done, snapshot = table_snapshot{.rows_ = std::move(rows),
-                                                       .version_ = version()}]
+                                                       .version_ = version(),
+                                                       .now_ms_ = clock_ms()}]
                       {
                           done(snapshot);
                       });
@@ -137,6 +158,12 @@
 
 void watched_store::list(const std::string& table, snapshot_handler done)
 {
+    if (held_)
+        return held_calls_.push_back(
+            [this, table, done = std::move(done)]
+            {
+                list(table, done);
+            });
     ++calls_;
     if (silent_)
         return lose(answer_margin_ms,
@@ -150,6 +177,12 @@
 void watched_store::watch(const std::string& table, std::int64_t after,
                           std::int64_t wait_ms, snapshot_handler done)
 {
+    if (held_)
+        return held_calls_.push_back(
+            [this, table, after, wait_ms, done = std::move(done)]
+            {
+                watch(table, after, wait_ms, done);
+            });
     ++calls_;
     if (silent_)
         return lose(wait_ms + answer_margin_ms,
@@ -187,6 +220,12 @@
 void watched_store::transact(const table_transaction& change,
                              answer_handler done)
 {
+    if (held_)
+        return held_calls_.push_back(
+            [this, change, done = std::move(done)]
+            {
+                transact(change, done);
+            });
     ++calls_;
     if (silent_)
         return lose(answer_margin_ms,
@@ -216,6 +255,7 @@
         }
     }
     out.current_.version_ = version();
+    out.current_.now_ms_ = clock_ms();
     boost::asio::post(loop_,
                       [done = std::move(done), out = std::move(out)]
                       {
--- a/stand_ins/watched_store.h
+++ b/stand_ins/watched_store.h
@@ -3,12 +3,14 @@
 
 // Stand-in for the platform's table store on an event loop, with the failures
 // that a client sees from outside: a silent store accepts calls and never
-// answers them, and a restored one forgets what was written since its copy.
+// answers them, a restored one forgets what was written since its copy, and the
+// network may hold calls up.
 //
 //   watched_store store(loop);
 //   store.put("settings", "all", "v1");
 //   store.set_silent(true);   // calls from here on are lost
 //   store.set_silent(false);  // and stay lost; watches from before go on
+//   store.set_held(true);     // calls from here on arrive when the hold ends
 //
 // Single thread.
 
@@ -51,6 +53,10 @@
         silent_ = silent;
     }
 
+    /// While held, calls do not arrive, as behind a network cut that ends
+    /// before the connections fail. They all arrive when the hold ends.
+    void set_held(bool held);
+
     /// Makes the copy from which `restore` comes back.
     void save_copy()
     {
@@ -100,6 +106,7 @@
     bool holds(const row_precondition& guard) const;
     void write(table_row row);
     void answer_watches();
+    std::int64_t clock_ms() const;
     void answer(const snapshot_handler& done, std::vector<table_row> rows);
     void run_after(std::int64_t delay_ms, std::function<void()> task);
 
@@ -111,6 +118,8 @@
     std::int64_t era_ = 1;
     std::list<pending_watch> watches_;
     bool silent_ = false;
+    bool held_ = false;
+    std::vector<std::function<void()>> held_calls_;
     std::size_t calls_ = 0;
 };
 
--- a/state/service_catalogue.h
+++ b/state/service_catalogue.h
@@ -18,6 +18,8 @@
 #include <string_view>
 #include <vector>
 
+#include "state/instant.h"
+
 namespace tanagerspan
 {
 
@@ -88,9 +90,9 @@
     bool leaving_ = false;
     bool primary_ = false;
     std::int64_t row_version_ = 0; ///< increases with each new entry
-    /// How long ago the entry may have been written, if calls to the store
-    /// failed before it was read; 0 if none did.
-    std::int64_t read_late_ms_ = 0;
+    /// A leaving endpoint gets no new work from this time on. `never` if it is
+    /// unknown for how long the endpoint has been leaving.
+    instant use_until_ = never;
 };
 
 using endpoint_list = std::vector<endpoint_entry>;
