A removed endpoint is dropped within the drain period of its removal

Behind a watch that was held up, and after a watch that was lost while other calls were answered, an endpoint that the store had removed was used for up to 9 s (computed: 6.5 s until the loss of a watch shows, and 2.5 s).

Now the time ends with the drain period, counted from the last proof that the entry was there, unless the store was away from this host in the meantime: then entries lapse that are written again after its return, and they are kept for 2.5 s as before. The store counts as back since the first answer of any feed after its last failure, or since a restore.

Looked at, and left: departed_at_ of departed_endpoints and the row times of takeover_trigger also start at the reading, but a later start is the safe side there; leases and freshness marks start when their call was sent.

--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -105,6 +105,7 @@
 
 void fleet_control::on_restored()
 {
+    restored_at_ = monotonic_now();
     // A watch with a position of the earlier era may stay unanswered.
     for (table_feed* feed : {&settings_, &endpoints_, &takeover_rows_})
         feed->refresh();
@@ -178,7 +179,7 @@
     {
         if (!update_entry(id, row))
             continue;
-        missing_since_.erase(id);
+        missing_until_.erase(id);
     }
     std::erase_if(rejected_versions_,
                   [&current](const auto& one)
@@ -188,7 +189,7 @@
     for (const auto& [id, entry] : entries_)
     {
         if (!current.contains(id))
-            missing_since_.try_emplace(id, now);
+            missing_until_.try_emplace(id, end_of_missing(now));
     }
     publish_endpoints();
 }
@@ -245,6 +246,27 @@
     return since + (options_.drain_ms_ - options_.delivery_ms_);
 }
 
+instant fleet_control::store_back_since() const
+{
+    instant since = monotonic_now();
+    for (const table_feed* feed : {&settings_, &endpoints_, &takeover_rows_})
+    {
+        if (feed->connected())
+            since = std::min(since, feed->connected_since());
+    }
+    return std::max(since, restored_at_);
+}
+
+instant fleet_control::end_of_missing(instant now) const
+{
+    // The entry was removed long ago if the answer that lacks it is late. Only
+    // a store that was away removes entries of endpoints that live.
+    instant rewritten = store_back_since() + options_.keep_missing_entry_ms_;
+    return std::min(
+        now + options_.keep_missing_entry_ms_,
+        std::max(rewritten, end_of_use(endpoints_.changed_since())));
+}
+
 void fleet_control::log_leave(const endpoint_entry& entry) const
 {
     constexpr std::int64_t unknown = -1;
@@ -267,13 +289,13 @@
 
 void fleet_control::remove_expired_entries(instant now)
 {
-    for (auto since = missing_since_.begin(); since != missing_since_.end();)
+    for (auto missing = missing_until_.begin();
+         missing != missing_until_.end();)
     {
-        auto entry = entries_.find(since->first);
-        bool expired = now - since->second >= options_.keep_missing_entry_ms_;
-        if (!expired && entry != entries_.end())
+        auto entry = entries_.find(missing->first);
+        if (now < missing->second && entry != entries_.end())
         {
-            ++since;
+            ++missing;
             continue;
         }
         if (entry != entries_.end())
@@ -282,7 +304,7 @@
                 left_[entry->first] = {entry->second.started_ms_, now};
             entries_.erase(entry);
         }
-        since = missing_since_.erase(since);
+        missing = missing_until_.erase(missing);
     }
     std::erase_if(left_,
                   [&](const auto& one)
@@ -309,14 +331,20 @@
     takeovers_.set_endpoints(*list);
     takeovers_.set_claim_order(plan, live_hosts_);
     outputs_.endpoints_(std::move(list), std::move(plan));
-    if (!missing_since_.empty())
+    if (!missing_until_.empty())
         schedule_expiry();
 }
 
 void fleet_control::schedule_expiry()
 {
-    expiry_timer_.expires_after(
-        std::chrono::milliseconds(options_.keep_missing_entry_ms_));
+    auto first = std::min_element(missing_until_.begin(), missing_until_.end(),
+                                  [](const auto& left, const auto& right)
+                                  {
+                                      return left.second < right.second;
+                                  });
+    std::int64_t wait_ms =
+        std::max<std::int64_t>(0, first->second - monotonic_now());
+    expiry_timer_.expires_after(std::chrono::milliseconds(wait_ms));
     expiry_timer_.async_wait(
         [this](io_error cancelled)
         {
--- a/node/fleet_control.h
+++ b/node/fleet_control.h
@@ -42,9 +42,10 @@
     {
         fleet_host own_;
         catalogue_format format_;
-        /// An endpoint whose entry disappeared is kept this long: entries
-        /// expire while the store is unavailable and are written again within
-        /// about two seconds.
+        /// An endpoint whose entry disappeared is kept this long after the
+        /// store is back: entries expire while the store is unavailable and
+        /// are written again within about two seconds. If the store was not
+        /// away, the endpoint is dropped before its drain period ends.
         std::int64_t keep_missing_entry_ms_ = 2500;
         /// How long an endpoint that left is remembered. A copy from which the
         /// store comes back is some seconds old.
@@ -118,6 +119,10 @@
     /// When the use of an endpoint ends that left or was removed after
     /// `since`.
     instant end_of_use(instant since) const;
+    /// When an entry is removed that is found missing at `now`.
+    instant end_of_missing(instant now) const;
+    /// Since when the store has answered this host's calls.
+    instant store_back_since() const;
     void log_leave(const endpoint_entry& entry) const;
     /// Whether a restore of the store brought back the entry of an endpoint
     /// that left and was gone.
@@ -136,7 +141,9 @@
     takeover_driver takeovers_;
     boost::asio::steady_timer expiry_timer_;
     std::map<std::string, endpoint_entry> entries_;
-    std::map<std::string, instant> missing_since_;
+    /// When the entries that are missing from the table are removed.
+    std::map<std::string, instant> missing_until_;
+    instant restored_at_ = never;
     /// Versions of rows that are not used, by endpoint id.
     std::map<std::string, std::int64_t> rejected_versions_;
     struct left_endpoint
--- a/node/fleet_control_test.cc
+++ b/node/fleet_control_test.cc
@@ -55,6 +55,8 @@
     CPPUNIT_TEST(leave_that_is_read_at_once_leaves_time_for_a_takeover);
     CPPUNIT_TEST(endpoint_that_left_before_the_start_gets_no_work);
     CPPUNIT_TEST(leave_that_is_written_again_counts_from_before_the_restore);
+    CPPUNIT_TEST(missing_entry_behind_a_held_up_watch_is_removed_in_time);
+    CPPUNIT_TEST(missing_entry_is_kept_after_an_absence_of_the_store);
     CPPUNIT_TEST(takeover_is_read_in_time_after_a_lost_watch);
     CPPUNIT_TEST(settings_are_read_after_a_restore);
     CPPUNIT_TEST(leave_outlasts_a_restore);
@@ -77,6 +79,17 @@
 
 public:
     void setUp() override
+    {
+        make_control({.keep_missing_entry_ms_ = keep_missing_entry_ms});
+    }
+
+private:
+    struct variant
+    {
+        std::int64_t keep_missing_entry_ms_ = 0;
+    };
+
+    void make_control(const variant& differing)
     {
         control_ = std::make_unique<fleet_control>(
             loop_, store_, promotions_,
@@ -87,7 +100,7 @@
                                                .parse_routes_ = parse_version,
                                                .parse_endpoint_ = parse_state},
                                    .keep_missing_entry_ms_ =
-                                       keep_missing_entry_ms,
+                                       differing.keep_missing_entry_ms_,
                                    .drain_ms_ = drain_ms,
                                    .delivery_ms_ = delivery_ms,
                                    .takeover_bound_ms_ = takeover_bound_ms},
@@ -111,7 +124,6 @@
                 }});
     }
 
-private:
     void run_for(std::int64_t duration_ms)
     {
         loop_.restart();
@@ -248,6 +260,51 @@
                        drain_ms - delivery_ms - answer_interval_ms - 50);
     }
 
+    // Guards against use of an endpoint after its drain period: its entry was
+    // removed, and the watch that returned this was held up.
+    void missing_entry_behind_a_held_up_watch_is_removed_in_time()
+    {
+        constexpr std::int64_t hold_ms = 1200; // shorter than any timeout
+        make_control({.keep_missing_entry_ms_ = 2500});
+        store_.put("endpoints", "e-1", "ready");
+        start_with_settings("1");
+        store_.put("endpoints", "e-1", "ready");
+        run_for(100);
+        store_.set_held(true);
+        instant left_at = monotonic_now();
+        store_.remove("endpoints", "e-1");
+        run_for(hold_ms);
+        store_.set_held(false);
+        assert_within(drain_ms - delivery_ms - (monotonic_now() - left_at),
+                      [this]
+                      {
+                          return endpoints_.empty();
+                      });
+    }
+
+    // Entries expire while the store is away, and their endpoints live.
+    void missing_entry_is_kept_after_an_absence_of_the_store()
+    {
+        constexpr std::int64_t absence_ms = 3500;
+        constexpr std::int64_t longest_backoff_ms = 800;
+        constexpr std::int64_t keep_ms = 2500;
+        make_control({.keep_missing_entry_ms_ = keep_ms});
+        store_.put("endpoints", "e-1", "ready");
+        start_with_settings("1");
+        store_.set_silent(true);
+        run_for(absence_ms);
+        store_.remove("endpoints", "e-1");
+        store_.set_silent(false);
+        run_for(keep_ms - quick_ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoints_.size());
+        assert_within(table_store::answer_margin_ms + longest_backoff_ms +
+                          2 * quick_ms,
+                      [this]
+                      {
+                          return endpoints_.empty();
+                      });
+    }
+
     // Guards against use of an endpoint after its drain period by a host that
     // starts and does not know when the endpoint's leave was confirmed.
     void endpoint_that_left_before_the_start_gets_no_work()
