--- a/state/record.cc
+++ b/state/record.cc
@@ -13,8 +13,18 @@
 bool is_nested_too_deep(std::string_view text)
 {
     int depth = 0;
-    for (char c : text)
+    bool in_string = false;
+    for (std::size_t at = 0; at < text.size(); ++at)
     {
+        char c = text[at];
+        if (c == '"')
+            in_string = !in_string;
+        if (in_string)
+        {
+            // Skips an escaped character, which may be a quote.
+            at += c == '\\' ? 1 : 0;
+            continue;
+        }
         if (c == '[' || c == '{')
             ++depth;
         if (c == ']' || c == '}')
