A malformed address is reported after open has returned

endpoint_link::open called its handler from within the call if the address was malformed. A takeover passes a list of actions to its links; a handler that runs in the middle of it may end the attempt, and the rest of the list, pauses for instance, was carried out after the end.

Test: port_out_of_range_is_reported_after_open_has_returned, fails on the code before; group_outlives_a_port_out_of_range holds on both.

--- a/node/endpoint_group_upkeep.cc
+++ b/node/endpoint_group_upkeep.cc
@@ -29,8 +29,7 @@
         std::make_shared<endpoint_link>(loop_, options_.link_, endpoint.entry_);
     link->idle_since_ = monotonic_now();
     endpoint.all_.push_back(link.get());
-    // The handler runs before `open` returns if the address is malformed.
-    // Otherwise the timeout closes a link whose set-up does not complete.
+    // The timeout closes a link whose set-up does not complete.
     timed_links_.push_back({link, monotonic_now() + options_.open_timeout_ms_});
     link->open(
         [this, link,
--- a/node/endpoint_link.cc
+++ b/node/endpoint_link.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <boost/asio/post.hpp>
+
 #include "transport/monotonic_clock.h"
 
 namespace tanagerspan
@@ -26,7 +28,11 @@
 {
     auto peer = parse_endpoint(endpoint_.address_);
     if (!peer)
-        return done(tl::unexpected(peer.error()));
+        return boost::asio::post(loop_,
+                                 [done = std::move(done), peer]
+                                 {
+                                     done(tl::unexpected(peer.error()));
+                                 });
     pending_.push_back(std::move(done));
     awaiting_since_ = monotonic_now();
     options_.codec_->append_open_session(output_, endpoint_.service_,
