An odd entry in place of a good one counts as missing

An invalid row under the id of a known endpoint left the entry before it in use for as long as the row stayed, also if the endpoint was gone. It now counts as missing: an endpoint that lives writes its entry again with its next report (1.2 s) and is used meanwhile; otherwise it is dropped like one whose row was removed.

--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -1,6 +1,7 @@
 #include "node/fleet_control.h"
 
 #include <algorithm>
+#include <set>
 #include <sstream>
 #include <utility>
 
@@ -175,10 +176,12 @@
 {
     endpoints_listed_ = true;
     instant now = monotonic_now();
+    std::set<std::string> usable;
     for (const auto& [id, row] : current)
     {
         if (!update_entry(id, row))
             continue;
+        usable.insert(id);
         missing_until_.erase(id);
     }
     std::erase_if(rejected_versions_,
@@ -188,7 +191,7 @@
                   });
     for (const auto& [id, entry] : entries_)
     {
-        if (!current.contains(id))
+        if (!usable.contains(id))
             missing_until_.try_emplace(id, end_of_missing(now));
     }
     publish_endpoints();
--- a/node/fleet_control_test.cc
+++ b/node/fleet_control_test.cc
@@ -35,10 +35,12 @@
     return route_table{.version_ = std::stoll(std::string(text))};
 }
 
-/// Entries are "ready", "leaving" or "restarted".
+/// Entries are "ready", "leaving" or "restarted"; others are invalid.
 result<endpoint_entry> parse_state(std::string_view id, std::string_view text,
                                    std::int64_t row_version)
 {
+    if (text == "odd")
+        return fail(error_code::malformed, "odd " + std::string(id));
     return endpoint_entry{.id_ = std::string(id),
                           .service_ = "orders",
                           .started_ms_ = text == "restarted" ? 2 : 1,
@@ -61,6 +63,8 @@
     CPPUNIT_TEST(settings_are_read_after_a_restore);
     CPPUNIT_TEST(leave_outlasts_a_restore);
     CPPUNIT_TEST(restarted_endpoint_is_not_leaving);
+    CPPUNIT_TEST(odd_entries_do_not_stop_the_others);
+    CPPUNIT_TEST(odd_entry_in_place_of_a_good_one_counts_as_missing);
     CPPUNIT_TEST(restore_does_not_bring_back_an_endpoint_that_left);
     CPPUNIT_TEST(restore_brings_back_an_entry_that_lapsed);
     CPPUNIT_TEST(endpoint_that_left_can_start_again);
@@ -411,6 +415,46 @@
                       });
     }
 
+    // Guards against hosts that stop following the entries because of an odd
+    // one.
+    void odd_entries_do_not_stop_the_others()
+    {
+        store_.put("endpoints", "e-1", "ready");
+        store_.put("endpoints", std::string(200, '\xff'), "odd");
+        start_with_settings("1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoints_.size());
+        store_.put("endpoints", "e-0", "odd");
+        store_.put("endpoints", "e-1", "leaving");
+        assert_is_leaving_within(fleet_control::max_entry_delay_ms + quick_ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoints_.size());
+    }
+
+    // An endpoint whose entry another writer has replaced writes it again with
+    // its next report, unless it is gone.
+    void odd_entry_in_place_of_a_good_one_counts_as_missing()
+    {
+        store_.put("endpoints", "e-1", "ready");
+        start_with_settings("1");
+        store_.put("endpoints", "e-1", "odd");
+        assert_within(fleet_control::max_entry_delay_ms +
+                          keep_missing_entry_ms + quick_ms,
+                      [this]
+                      {
+                          return endpoints_.empty();
+                      });
+        store_.put("endpoints", "e-1", "ready");
+        assert_within(fleet_control::max_entry_delay_ms + quick_ms,
+                      [this]
+                      {
+                          return endpoints_.size() == 1;
+                      });
+        // Meanwhile the endpoint is used.
+        store_.put("endpoints", "e-1", "odd");
+        store_.put("endpoints", "e-1", "ready");
+        run_for(fleet_control::max_entry_delay_ms + keep_missing_entry_ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoints_.size());
+    }
+
     /// One endpoint leaves and is gone; the copy of the store is older.
     void lose_endpoint_after_copy(const std::string& last_entry)
     {
