A primary that a pending promotion replaces gets no new work

The crashed primary came back at 9.05 s under another id, as primary, together with a new replica. The holder's lease ended at 10.21 s, and before the next claim the primary acknowledged two changes, confirmed by the new replica; the promotion at 11.7 s discarded them. The takeovers cannot pause an endpoint that they have not read yet (the store's history was dropped at 9 s, so entries were read a second late).

It is the first case of open_walks ("an endpoint joins and confirms changes after the order was sent"), not the cause of DRAIN. All hosts had read the row of the order 5 s before. So the hosts now use what they know: while a row names another endpoint in an order that may take effect, they send the presumed primary no work for the primary. Takeovers tell such a primary to step down anyway. Freshness marks (a begin that writes nothing) go on, so that replicas are read meanwhile. The hold ends with the next row, or when the order can no longer take effect.

Not mended by it: writes that were under way before the order, which a joining replica may still confirm. The walks in the repository are unchanged, and open_walks stays in KNOWN-RED.txt.

--- a/coordination/takeover_row.cc
+++ b/coordination/takeover_row.cc
@@ -39,6 +39,16 @@
     return out;
 }
 
+pending_promotion pending_promotion_of(const takeover_row& row,
+                                       instant received_at)
+{
+    if (row.ordered_.empty())
+        return {};
+    return {.endpoint_id_ = row.ordered_,
+            .until_ =
+                received_at + (max_command_delay_ms - row.ordered_age_ms_)};
+}
+
 takeover_row make_claim_row(const takeover_row& seen, std::int64_t since_ms,
                             const std::string& holder)
 {
--- a/coordination/takeover_row.h
+++ b/coordination/takeover_row.h
@@ -34,6 +34,7 @@
 #include <string>
 #include <vector>
 
+#include "state/instant.h"
 #include "state/log_position_record.h"
 #include "state/record.h"
 
@@ -89,6 +90,19 @@
 pending_commands pending_commands_of(const takeover_row& row,
                                      std::int64_t since_ms);
 
+/// A promotion order that may take effect.
+struct pending_promotion
+{
+    std::string endpoint_id_; ///< empty: no order is pending
+    instant until_ = never;   ///< no longer pending from then on
+
+    bool operator==(const pending_promotion&) const = default;
+};
+
+/// The order that was pending in a row when it was received.
+pending_promotion pending_promotion_of(const takeover_row& row,
+                                       instant received_at);
+
 /// Whether `row` precedes `other` in the history of a service's takeovers: by
 /// token, then by stage.
 bool is_earlier(const takeover_row& row, const takeover_row& other);
--- a/daemons/tanager_edge_main.cc
+++ b/daemons/tanager_edge_main.cc
@@ -117,6 +117,17 @@
                                           traffic_server_.set_promotion(
                                               service, {endpoint, version});
                                       });
+                },
+                .promotion_pending_ =
+                    [this](const std::string& service,
+                           const pending_promotion& order)
+                {
+                    boost::asio::post(traffic_,
+                                      [this, service, order]
+                                      {
+                                          traffic_server_.set_pending_promotion(
+                                              service, order);
+                                      });
                 }};
     }
 
--- a/node/endpoint_group.cc
+++ b/node/endpoint_group.cc
@@ -114,6 +114,31 @@
     return promoted ? promoted_.row_version_ : no_claim;
 }
 
+void endpoint_group::set_pending_promotion(pending_promotion order)
+{
+    if (order == pending_promotion_)
+        return;
+    pending_promotion_ = std::move(order);
+    schedule_dispatch();
+}
+
+bool endpoint_group::is_being_replaced(const endpoint_state& endpoint,
+                                       instant now) const
+{
+    const pending_promotion& order = pending_promotion_;
+    return !order.endpoint_id_.empty() && now < order.until_ &&
+           endpoint.entry_.id_ != order.endpoint_id_;
+}
+
+std::optional<std::size_t>
+endpoint_group::primary_for(const link_request& request, instant now) const
+{
+    auto primary = primary_index(now);
+    bool held = primary && request.primary_ && !request.takes_no_slot_ &&
+                is_being_replaced(*endpoints_[*primary], now);
+    return held ? std::nullopt : primary;
+}
+
 std::optional<std::size_t> endpoint_group::primary_index(instant now) const
 {
     std::optional<std::size_t> best;
@@ -140,7 +165,7 @@
 endpoint_group::endpoint_loads(const link_request& request, bool idle_only,
                                instant now) const
 {
-    auto primary = primary_index(now);
+    auto primary = primary_for(request, now);
     std::vector<endpoint_candidate> out;
     out.reserve(endpoints_.size());
     for (std::size_t i = 0; i < endpoints_.size(); ++i)
@@ -189,7 +214,7 @@
     if (!request.primary_)
         return usable_for_read(candidates, request.position_,
                                excluded_indexes(request), now);
-    auto primary = primary_index(now);
+    auto primary = primary_for(request, now);
     return primary ? std::vector{*primary} : std::vector<std::size_t>{};
 }
 
--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -19,6 +19,9 @@
 // and other endpoints are tried even without a claim, because the store may be
 // unavailable; an endpoint that is not primary refuses the work.
 //
+// While a promotion order may take effect, only the endpoint that it names gets
+// work as primary. Freshness marks change nothing and are still asked for.
+//
 // Not thread safe: use on the traffic thread only.
 
 #include <cstdint>
@@ -127,6 +130,9 @@
     void set_endpoints(const endpoint_list& endpoints, std::size_t share,
                        instant now);
     void set_promotion(promotion_record record);
+    /// While a promotion order may take effect, no other endpoint gets work as
+    /// primary: the promotion would discard the changes that it confirms.
+    void set_pending_promotion(pending_promotion order);
 
     /// Requests a link. `granted` is called later, never from within this
     /// function.
@@ -244,6 +250,11 @@
     endpoint_state* endpoint_of(const endpoint_link& link);
     std::int64_t primary_claim_version(const endpoint_state& endpoint) const;
     std::optional<std::size_t> primary_index(instant now) const;
+    /// Whether a promotion order for another endpoint may take effect.
+    bool is_being_replaced(const endpoint_state& endpoint, instant now) const;
+    /// The primary, unless the request must not run there.
+    std::optional<std::size_t> primary_for(const link_request& request,
+                                           instant now) const;
     std::vector<endpoint_candidate> endpoint_loads(const link_request& request,
                                                    bool idle_only,
                                                    instant now) const;
@@ -298,6 +309,7 @@
     bool renewing_mark_ = false;
     bool primary_unreachable_ = false;
     promotion_record promoted_;
+    pending_promotion pending_promotion_;
     request_id next_request_id_ = 1;
     bool dispatch_scheduled_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -77,16 +77,21 @@
           {
               on_takeover_rows(current);
           }),
-      takeovers_(loop, store_, promotions,
-                 {.host_name_ = options_.own_.name_,
-                  .table_ = promotions_table,
-                  .codec_ = options_.codec_,
-                  .restore_hold_ms_ = options_.settings_bound_ms_},
-                 [this](const std::string& service, const std::string& primary,
-                        std::int64_t version)
-                 {
-                     outputs_.promoted_(service, primary, version);
-                 }),
+      takeovers_(
+          loop, store_, promotions,
+          {.host_name_ = options_.own_.name_,
+           .table_ = promotions_table,
+           .codec_ = options_.codec_,
+           .restore_hold_ms_ = options_.settings_bound_ms_},
+          [this](const std::string& service, const std::string& primary,
+                 std::int64_t version)
+          {
+              outputs_.promoted_(service, primary, version);
+          },
+          [this](const std::string& service, const pending_promotion& order)
+          {
+              outputs_.promotion_pending_(service, order);
+          }),
       expiry_timer_(loop), planner_(options_.own_)
 {
 }
--- a/node/fleet_control.h
+++ b/node/fleet_control.h
@@ -77,6 +77,8 @@
         std::function<void(const std::string&, const std::string&,
                            std::int64_t)>
             promoted_;
+        /// Arguments: the service and the promotion order that may take effect.
+        takeover_driver::pending_handler promotion_pending_;
     };
 
     fleet_control(boost::asio::io_context& loop, table_store& store,
--- a/node/fleet_control_test.cc
+++ b/node/fleet_control_test.cc
@@ -68,6 +68,7 @@
     CPPUNIT_TEST(restore_does_not_bring_back_an_endpoint_that_left);
     CPPUNIT_TEST(restore_brings_back_an_entry_that_lapsed);
     CPPUNIT_TEST(endpoint_that_left_can_start_again);
+    CPPUNIT_TEST(pending_promotion_is_published_until_it_is_done);
     CPPUNIT_TEST(lost_takeover_row_is_written_back);
     CPPUNIT_TEST(earlier_takeover_row_is_replaced);
     CPPUNIT_TEST(later_takeover_row_is_kept);
@@ -79,6 +80,7 @@
     std::int64_t applied_version_ = 0;
     endpoint_list endpoints_;
     std::string promoted_;
+    pending_promotion pending_;
     std::unique_ptr<fleet_control> control_;
 
 public:
@@ -125,6 +127,11 @@
                            std::int64_t)
                 {
                     promoted_ = primary;
+                },
+                .promotion_pending_ =
+                    [this](const std::string&, const pending_promotion& order)
+                {
+                    pending_ = order;
                 }});
     }
 
@@ -502,6 +509,29 @@
                       });
     }
 
+    void pending_promotion_is_published_until_it_is_done()
+    {
+        constexpr std::int64_t sent_ms_ago = 2000;
+        start_with_settings("1");
+        takeover_row row{.token_ = 1,
+                         .holder_ = "host-2",
+                         .endpoint_ = "e-2",
+                         .stage_ = "ordered",
+                         .ordered_ = "e-2",
+                         .ordered_age_ms_ = sent_ms_ago};
+        instant written_at = monotonic_now();
+        store_.put(fleet_control::promotions_table, "orders",
+                   encode(row).dump());
+        run_for(quick_ms);
+        CPPUNIT_ASSERT_EQUAL(std::string("e-2"), pending_.endpoint_id_);
+        CPPUNIT_ASSERT(pending_.until_ >=
+                       written_at + (max_command_delay_ms - sent_ms_ago));
+        store_.put(fleet_control::promotions_table, "orders",
+                   done_row(1, "e-2"));
+        run_for(quick_ms);
+        CPPUNIT_ASSERT(pending_.endpoint_id_.empty());
+    }
+
     // Regression: after a restore without the row of a takeover, each claim
     // expected the row's lost version, and no primary could be promoted.
     void lost_takeover_row_is_written_back()
--- /dev/null
+++ b/node/pending_promotion_test.cc
@@ -0,0 +1,73 @@
+// Tests of work for the primary while a promotion order may take effect.
+
+#include "node/session_fixture_test.h"
+
+namespace tanagerspan
+{
+namespace
+{
+
+class pending_promotion_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(pending_promotion_test);
+    CPPUNIT_TEST(primary_that_is_being_replaced_gets_no_writes);
+    CPPUNIT_TEST(ordered_endpoint_gets_writes);
+    CPPUNIT_TEST(reads_of_replicas_go_on);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::int64_t pending_ms = 200;
+
+    static void set_pending(session_fixture& fixture, const std::string& id)
+    {
+        fixture.server_->set_pending_promotion(
+            "svc", {id, monotonic_now() + pending_ms});
+    }
+
+    // Guards against the loss of an acknowledged change (LOST): a primary that
+    // came back confirmed writes after another endpoint had been ordered to
+    // take over, and the late promotion discarded them.
+    void primary_that_is_being_replaced_gets_no_writes()
+    {
+        session_fixture fixture;
+        auto caller = fixture.open("strict");
+        CPPUNIT_ASSERT(!fixture.execute(*caller, "WRITE k v").error_);
+        set_pending(fixture, "m2");
+        std::size_t replies = caller->replies_.size();
+        caller->send_statement("WRITE k w");
+        fixture.run_for(pending_ms / 2);
+        CPPUNIT_ASSERT_EQUAL(replies, caller->replies_.size());
+        CPPUNIT_ASSERT(fixture.until(
+            [&]
+            {
+                return caller->replies_.size() > replies;
+            }));
+        CPPUNIT_ASSERT(!caller->replies_.back().error_);
+    }
+
+    void ordered_endpoint_gets_writes()
+    {
+        session_fixture fixture;
+        auto caller = fixture.open("strict");
+        set_pending(fixture, "m1");
+        instant sent_at = monotonic_now();
+        CPPUNIT_ASSERT(!fixture.execute(*caller, "WRITE k v").error_);
+        CPPUNIT_ASSERT(monotonic_now() - sent_at < pending_ms);
+    }
+
+    void reads_of_replicas_go_on()
+    {
+        session_fixture fixture;
+        auto caller = fixture.open("own");
+        CPPUNIT_ASSERT(!fixture.execute(*caller, "READ k").error_);
+        fixture.run_for(100); // a freshness mark arrives
+        set_pending(fixture, "m2");
+        instant sent_at = monotonic_now();
+        CPPUNIT_ASSERT(!fixture.execute(*caller, "READ k").error_);
+        CPPUNIT_ASSERT(monotonic_now() - sent_at < pending_ms);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(pending_promotion_test);
+
+} // namespace
+} // namespace tanagerspan
--- a/node/takeover_driver.cc
+++ b/node/takeover_driver.cc
@@ -33,10 +33,11 @@
 takeover_driver::takeover_driver(boost::asio::io_context& loop,
                                  table_store& store,
                                  promotion_service& promotions, options opts,
-                                 primary_handler primary_changed)
+                                 primary_handler primary_changed,
+                                 pending_handler pending_changed)
     : loop_(loop), store_(store), promotions_(promotions),
       options_(std::move(opts)), primary_changed_(std::move(primary_changed)),
-      timer_(loop)
+      pending_changed_(std::move(pending_changed)), timer_(loop)
 {
 }
 
--- a/node/takeover_driver.h
+++ b/node/takeover_driver.h
@@ -66,11 +66,17 @@
     using primary_handler = std::function<void(
         const std::string&, const std::string&, std::int64_t)>;
 
+    /// Arguments: the service and the promotion order that may take effect.
+    using pending_handler =
+        std::function<void(const std::string&, const pending_promotion&)>;
+
     /// `primary_changed` is called for each newer takeover row that names a
-    /// primary as the result of a finished takeover.
+    /// primary as the result of a finished takeover, `pending_changed` for each
+    /// newer row.
     takeover_driver(boost::asio::io_context& loop, table_store& store,
                     promotion_service& promotions, options opts,
-                    primary_handler primary_changed);
+                    primary_handler primary_changed,
+                    pending_handler pending_changed);
     ~takeover_driver();
 
     /// Replaces the endpoints of all services.
@@ -120,6 +126,8 @@
     void schedule_tick();
     void tick();
     void on_row(service_state& state, const table_row& row);
+    /// Passes on what the current row says.
+    void publish_row(const service_state& state);
     void on_row_outdated(service_state& state, std::int64_t stored_token);
     void write_back(service_state& state, instant now);
     void claim(service_state& state, takeover_reason reason, instant now);
@@ -148,6 +156,7 @@
     promotion_service& promotions_;
     options options_;
     primary_handler primary_changed_;
+    pending_handler pending_changed_;
     boost::asio::steady_timer timer_;
     bool tick_scheduled_ = false;
     static constexpr std::int64_t unknown_era = -1;
--- a/node/takeover_driver_rows.cc
+++ b/node/takeover_driver_rows.cc
@@ -49,6 +49,15 @@
     schedule_tick();
 }
 
+void takeover_driver::publish_row(const service_state& state)
+{
+    const takeover_row& row = state.row_;
+    if (row.stage_ == "done" && !row.endpoint_.empty())
+        primary_changed_(state.name_, row.endpoint_, state.row_version_);
+    pending_changed_(state.name_,
+                     pending_promotion_of(row, state.row_received_at_));
+}
+
 void takeover_driver::on_row(service_state& state, const table_row& row)
 {
     if (row.version_ <= state.row_version_)
@@ -68,8 +77,7 @@
     state.row_ = *decoded;
     state.row_received_at_ = monotonic_now();
     state.trigger_.on_row(*decoded, state.row_received_at_);
-    if (decoded->stage_ == "done" && !decoded->endpoint_.empty())
-        primary_changed_(state.name_, decoded->endpoint_, row.version_);
+    publish_row(state);
     bool confirms_claim = state.claim_ &&
                           state.claim_->holder_ == decoded->holder_ &&
                           state.claim_->token_ == decoded->token_;
@@ -114,9 +122,7 @@
                 state.row_version_ = answer->current_.version_;
                 state.row_received_at_ = monotonic_now();
                 state.trigger_.on_row(row, state.row_received_at_);
-                if (row.stage_ == "done" && !row.endpoint_.empty())
-                    primary_changed_(state.name_, row.endpoint_,
-                                     state.row_version_);
+                publish_row(state);
             }
             if (!applied)
                 log_line(log_level::info, "takeover_row_not_written",
--- a/node/takeover_driver_test.cc
+++ b/node/takeover_driver_test.cc
@@ -46,7 +46,8 @@
         {.host_name_ = "host-1",
          .table_ = "takeovers",
          .restore_hold_ms_ = restore_hold_ms},
-        [](const std::string&, const std::string&, std::int64_t) {}};
+        [](const std::string&, const std::string&, std::int64_t) {},
+        [](const std::string&, const pending_promotion&) {}};
 
     /// Passes one row of the first era to the driver.
     void read_row()
--- a/node/traffic_server.cc
+++ b/node/traffic_server.cc
@@ -228,6 +228,7 @@
                                         .data_centre_ = options_.data_centre_});
             if (promotions_.contains(name))
                 group->set_promotion(promotions_[name]);
+            group->set_pending_promotion(pending_promotions_[name]);
             gateway = std::make_shared<service_gateway>(options_.host_name_,
                                                         group, homes_);
         }
@@ -265,6 +266,14 @@
         group->set_promotion(std::move(record));
 }
 
+void traffic_server::set_pending_promotion(const std::string& service,
+                                           pending_promotion order)
+{
+    pending_promotions_[service] = order;
+    if (auto group = group_of(service))
+        group->set_pending_promotion(std::move(order));
+}
+
 void traffic_server::report_health(instant now)
 {
     if (!on_health_)
--- a/node/traffic_server.h
+++ b/node/traffic_server.h
@@ -56,6 +56,9 @@
     /// This proxy acts as a home of each service that is not in the plan.
     void set_endpoints(endpoint_list_ptr endpoints, home_plan_ptr plan);
     void set_promotion(const std::string& service, promotion_record record);
+    /// See `endpoint_group::set_pending_promotion`.
+    void set_pending_promotion(const std::string& service,
+                               pending_promotion order);
 
     /// Closes each session once it is in no transaction, beginning after
     /// `accept_after_drain_ms_`. After half of `limit_ms`, idle transactions
@@ -100,6 +103,7 @@
     peer_server peers_;
     bool serves_peers_ = false;
     std::map<std::string, promotion_record> promotions_;
+    std::map<std::string, pending_promotion> pending_promotions_;
     std::map<std::string, primary_health> reported_;
     route_table_ptr routes_;
     endpoint_list_ptr endpoints_;
