--- a/coordination/store_clock_test.cc
+++ b/coordination/store_clock_test.cc
@@ -81,7 +81,8 @@
             now = now + window_ms;
             // An answer that was given at once, by a clock that has gained
             // five milliseconds a window.
-            std::int64_t store_ms = now.ms_ + 49'000 + 5 * (window + 1);
+            std::int64_t store_ms =
+                now.ms_ + 49'000 + std::int64_t{5} * (window + 1);
             clock.given_at(now, store_ms, now + 20);
         }
         instant given = clock.given_at(now + 1, now.ms_ + 1 + 49'015, now + 20);
