--- a/review/stand_in/stand_in.py
+++ b/review/stand_in/stand_in.py
@@ -167,10 +167,11 @@
         self.group, self.name, self.ip, self.port, self.role = group, name, ip, port, role
         self.log, self.paused, self.alive, self.started = [], 0, False, 0
         self.conns, self.silent_for, self.seq, self.state = set(), set(), 0, "ready"
+        self.deaf = False  # receives nothing, as with replica_lag "deaf"
         self.term = group.term
 
     def position(self):
-        return "%d.%d" % (self.log[-1][0] if self.log else 1, len(self.log))
+        return "%d.%d" % (self.log[-1][0] if self.log else min(self.term, 1), len(self.log))
 
     def entry(self):
         return {"service": self.group.service, "addr": "%s:%d" % (self.ip, self.port), "zone": "a",
@@ -210,8 +211,12 @@
         await self.crash()
         self.group.store.remove("servers", self.name)
 
+    def forget(self):
+        """It will start again under its id, and holds and knows nothing."""
+        self.log, self.term, self.seq, self.paused = [], 0, 0, 0
+
     def receives(self):
-        return self.alive and self.role == "replica" and not self.paused
+        return self.alive and self.role == "replica" and not self.paused and not self.deaf
 
     async def serve(self, reader, writer):
         self.conns.add(writer)
@@ -276,7 +281,7 @@
         words = query.split(" ")
         if words[0] == "AFTERLSN":
             term, number = words[1].split(".")
-            if (int(term), int(number)) > ((m.log[-1][0] if m.log else 1), len(m.log)):
+            if (int(term), int(number)) > ((m.log[-1][0] if m.log else min(m.term, 1)), len(m.log)):
                 return self.error("LAGGING")
             words = words[2:]
         verb = words[0]
