--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,12 +5,25 @@
 from stand_in import *
 
 
+async def join(group, record):
+    joiner = Member(group, "i-4", "127.0.0.1", group.ports[0])
+    joiner.term = group.term
+    group.members.append(joiner)
+    record("JOIN i-4")
+    await joiner.start()
+
+
 async def case(record, trouble):
     edges = ["edge-1", "edge-2", "edge-3"]
     store, group, fleet = await make(record, hosts=edges, promote_ms=1000)
     await fleet.wait_ready()
     accepted = asyncio.Event()
-    store.on_order = lambda service, name: accepted.set()
+    ordered = []
+
+    def on_order(service, name):
+        ordered.append(name)
+        accepted.set()
+    store.on_order = on_order
     end = time.monotonic() + 16
     writers = [asyncio.create_task(writer(fleet, e, record, "%s-%d" % (e, n), end))
                for e in edges for n in range(3)]
@@ -23,11 +36,15 @@
         except asyncio.TimeoutError:
             record("no promotion was ordered")
         await asyncio.sleep(0.3)
-    joiner = Member(group, "i-4", "127.0.0.1", group.ports[0])
-    joiner.term = group.term
-    group.members.append(joiner)
-    record("JOIN i-4")
-    await joiner.start()
+    if os.environ.get("EVENT") == "restart":
+        # Instead of a member that joins, a paused replica restarts with its log.
+        other = next(m for m in group.members if m.role == "replica" and m.name not in ordered[-1:])
+        record("RESTART", other.name)
+        await other.crash()
+        await asyncio.sleep(0.3)
+        await other.start()
+    else:
+        await join(group, record)
     await asyncio.sleep(2)
     for m in group.members:
         m.silent_for.clear()
