A change confirmed by a primary that is being replaced is in doubt

What callers saw: a success for a write that was on its way to a primary when a promotion of another endpoint was ordered, and gone after it.

Cause: hosts that know of the order send that primary no new work, but delivered the success of what was under way.

Change: while an order for another endpoint may take effect, the outcome of a write or commit is told as unknown, which is true either way.

Test: change_that_a_promotion_may_discard_is_in_doubt.

--- a/node/endpoint_group.cc
+++ b/node/endpoint_group.cc
@@ -122,12 +122,18 @@
     schedule_dispatch();
 }
 
-bool endpoint_group::is_being_replaced(const endpoint_state& endpoint,
+bool endpoint_group::may_discard_changes(const endpoint_link& link,
+                                         instant now) const
+{
+    return is_being_replaced(link.endpoint().id_, now);
+}
+
+bool endpoint_group::is_being_replaced(const std::string& endpoint_id,
                                        instant now) const
 {
     const pending_promotion& order = pending_promotion_;
     return !order.endpoint_id_.empty() && now < order.until_ &&
-           endpoint.entry_.id_ != order.endpoint_id_;
+           endpoint_id != order.endpoint_id_;
 }
 
 std::optional<std::size_t>
@@ -135,7 +141,7 @@
 {
     auto primary = primary_index(now);
     bool held = primary && request.primary_ && !request.takes_no_slot_ &&
-                is_being_replaced(*endpoints_[*primary], now);
+                is_being_replaced(endpoints_[*primary]->entry_.id_, now);
     return held ? std::nullopt : primary;
 }
 
--- a/node/endpoint_group.h
+++ b/node/endpoint_group.h
@@ -20,7 +20,9 @@
 // unavailable; an endpoint that is not primary refuses the work.
 //
 // While a promotion order may take effect, only the endpoint that it names gets
-// work as primary. Freshness marks change nothing and are still asked for.
+// work as primary. Freshness marks change nothing and are still asked for. A
+// change that another endpoint acknowledges in this time may be discarded, so
+// its outcome counts as unknown.
 //
 // Not thread safe: use on the traffic thread only.
 
@@ -134,6 +136,10 @@
     /// primary: the promotion would discard the changes that it confirms.
     void set_pending_promotion(pending_promotion order);
 
+    /// Whether a promotion that may take effect would discard the changes that
+    /// the link's endpoint acknowledges now.
+    bool may_discard_changes(const endpoint_link& link, instant now) const;
+
     /// Requests a link. `granted` is called later, never from within this
     /// function.
     request_id request_link(link_request request, grant_handler granted,
@@ -251,7 +257,7 @@
     std::int64_t primary_claim_version(const endpoint_state& endpoint) const;
     std::optional<std::size_t> primary_index(instant now) const;
     /// Whether a promotion order for another endpoint may take effect.
-    bool is_being_replaced(const endpoint_state& endpoint, instant now) const;
+    bool is_being_replaced(const std::string& endpoint_id, instant now) const;
     /// The primary, unless the request must not run there.
     std::optional<std::size_t> primary_for(const link_request& request,
                                            instant now) const;
--- a/node/local_run.cc
+++ b/node/local_run.cc
@@ -21,6 +21,12 @@
 constexpr double repeat_after_fraction = 0.6;
 constexpr std::int64_t min_repeat_after_ms = 150;
 
+bool commits(attempt_step step)
+{
+    return step == attempt_step::autocommit_write ||
+           step == attempt_step::commit;
+}
+
 std::int64_t repeat_after_ms(const database_route& route)
 {
     auto delay_ms = static_cast<std::int64_t>(
@@ -242,8 +248,7 @@
         {
             self->on_statement(link, got);
         });
-    if (step() == attempt_step::autocommit_write ||
-        step() == attempt_step::commit)
+    if (commits(step()))
         group_->on_write_sent(link_, sent_at_);
     link_->flush();
 }
@@ -263,8 +268,12 @@
                           got.error().detail_);
     if (got->error_)
         return on_failure(failure_of(*got->error_), *got, got->text_);
+    instant now = monotonic_now();
+    if (commits(step()) && group_->may_discard_changes(*link_, now))
+        return on_failure(attempt_failure::connection_lost, std::nullopt,
+                          "the endpoint is being replaced");
     group_->on_answered(link_, options_.route_.name_, !options_.transaction_,
-                        sent_at_, monotonic_now());
+                        sent_at_, now);
     succeed(*got);
 }
 
@@ -296,9 +305,7 @@
 {
     instant now = monotonic_now();
     attempt_step current_step = step();
-    bool committed = current_step == attempt_step::autocommit_write ||
-                     current_step == attempt_step::commit;
-    if (committed && got.position_)
+    if (commits(current_step) && got.position_)
         group_->marks().add(sent_at_, *got.position_);
     count_read(now);
     run_outcome outcome{.answer_ = std::move(got)};
--- a/node/pending_promotion_test.cc
+++ b/node/pending_promotion_test.cc
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(hold_ends_when_the_order_can_no_longer_take_effect);
     CPPUNIT_TEST(ordered_endpoint_gets_writes);
     CPPUNIT_TEST(reads_of_replicas_go_on);
+    CPPUNIT_TEST(change_that_a_promotion_may_discard_is_in_doubt);
     CPPUNIT_TEST_SUITE_END();
 
     static void set_pending(session_fixture& fixture, const std::string& id)
@@ -61,6 +62,34 @@
         CPPUNIT_ASSERT(!fixture.execute(*caller, "WRITE k v").error_);
     }
 
+    // Guards against the loss of an acknowledged change (LOST): a primary that
+    // was being replaced confirmed a write that was under way before the order,
+    // and the caller was told of a success.
+    void change_that_a_promotion_may_discard_is_in_doubt()
+    {
+        constexpr std::int64_t confirmed_after_ms = 200;
+        session_fixture fixture;
+        auto caller = fixture.open("strict");
+        CPPUNIT_ASSERT(!fixture.execute(*caller, "WRITE k v").error_);
+        fixture.primary().faults_ =
+            [](const statement& what) -> std::optional<session_endpoint::fault>
+        {
+            if (what.kind_ != statement_kind::write)
+                return std::nullopt;
+            return session_endpoint::fault{.delay_ms_ = confirmed_after_ms};
+        };
+        std::size_t replies = caller->replies_.size();
+        caller->send_statement("WRITE k w");
+        fixture.run_for(confirmed_after_ms / 2);
+        set_pending(fixture, "m2");
+        CPPUNIT_ASSERT(fixture.until(
+            [&]
+            {
+                return caller->replies_.size() > replies;
+            }));
+        CPPUNIT_ASSERT(caller->replies_.back().error_ == reply_error::in_doubt);
+    }
+
     void reads_of_replicas_go_on()
     {
         session_fixture fixture;
