--- a/coordination/group_model_test.h
+++ b/coordination/group_model_test.h
@@ -28,6 +28,7 @@
     };
     /// "n" joins late and is unknown to attempts.
     std::vector<member> members_{{"p"}, {"a"}, {"b"}, {"n"}};
+    bool has_joined_ = false; ///< "n" is in the list of endpoints
     std::string primary_ = "p";
     std::uint64_t term_ = 1;
     log_position acknowledged_{1, 10};
--- a/coordination/promotion_choice.cc
+++ b/coordination/promotion_choice.cc
@@ -86,7 +86,9 @@
         if (found != obstacle::none && !(contains_primary && unknown))
             return found;
     }
-    return obstacle::none;
+    return contains_primary || known.members_complete_
+               ? obstacle::none
+               : obstacle::members_unknown;
 }
 
 } // namespace
@@ -105,6 +107,8 @@
         return "another log may still grow";
     case obstacle::behind:
         return "another log is longer";
+    case obstacle::members_unknown:
+        return "an endpoint that is not known may have a longer log";
     case obstacle::below_floor:
         return "no log contains the start of the last term";
     default:
@@ -127,6 +131,8 @@
         if (!log.received_ || !log.listed_)
             continue;
         obstacle found = check_candidate(known, log);
+        out.needs_members_ =
+            out.needs_members_ || found == obstacle::members_unknown;
         if (found == obstacle::none &&
             (best == nullptr || rank(log) > rank(*best)))
             best = &log;
@@ -138,7 +144,10 @@
         }
     }
     if (best != nullptr)
-        out = {best->id_, obstacle::none};
+    {
+        out.id_ = best->id_;
+        out.why_not_ = obstacle::none;
+    }
     return out;
 }
 
--- a/coordination/promotion_choice.h
+++ b/coordination/promotion_choice.h
@@ -9,8 +9,10 @@
 //   - it reaches the end of the log of a primary that has stepped down: that
 //     log is complete for its term, and nothing is acknowledged after the step
 //     down; or
+
 //   - no endpoint that may have received a change has a longer log, and none
-//     of these logs can grow.
+//     of these logs can grow. This needs a complete list of the endpoints: one
+//     that joined a moment ago may have confirmed a change.
 //
 // The second rule needs the log position of every other endpoint. If an
 // endpoint does not answer, its log is ignored only when the endpoint has left
@@ -61,6 +63,9 @@
     std::vector<replica_log> logs_; ///< of all but a primary without an answer
     /// The primary that stepped down; its log is among `logs_`.
     std::optional<std::string> stepped_down_{};
+    /// `logs_` has every endpoint that had joined before the primary stepped
+    /// down or was last heard of. Another one may have confirmed changes.
+    bool members_complete_ = true;
     log_position floor_{};
     std::uint64_t floor_term_ = 0; ///< the term that started at the floor
     /// The target of a promotion order that may still take effect.
@@ -75,6 +80,8 @@
     log_unknown,  ///< an endpoint without an answer may have a longer log
     log_may_grow, ///< another log may still grow
     behind,       ///< another log is longer
+    /// An endpoint that is not known may have confirmed what the log lacks.
+    members_unknown,
     below_floor,  ///< the log does not contain the start of the last term
     order_pending ///< an order for another endpoint may be pending
 };
@@ -85,6 +92,8 @@
 {
     std::string id_; ///< empty: no endpoint is proven to be safe
     promotion_obstacle why_not_ = promotion_obstacle::none;
+    /// Another endpoint may be chosen once the members are complete.
+    bool needs_members_ = false;
 };
 
 /// Chooses among the endpoints that can be promoted: first the target of a
--- a/coordination/promotion_choice_test.cc
+++ b/coordination/promotion_choice_test.cc
@@ -60,6 +60,11 @@
         auto both = choose_promotion(
             {.logs_ = {log_of("a", {1, 4}, true), log_of("b", {1, 5}, true)}});
         CPPUNIT_ASSERT_EQUAL(std::string("b"), both.id_);
+        // A third endpoint may have joined.
+        auto incomplete = choose_promotion(
+            {.logs_ = {log_of("a", {1, 4}, true), log_of("b", {1, 5}, true)},
+             .members_complete_ = false});
+        CPPUNIT_ASSERT(incomplete.id_.empty() && incomplete.needs_members_);
     }
 
     // Found by a random walk: a replica that had not yet truncated its diverged
@@ -92,8 +97,14 @@
         CPPUNIT_ASSERT_EQUAL(std::string("p"), choose_promotion(known).id_);
         known.logs_[1] = log_of("b", {3, 212}, false);
         CPPUNIT_ASSERT_EQUAL(std::string("b"), choose_promotion(known).id_);
-        // No other endpoint confirmed the rest of the term.
+        // An endpoint that just joined may have confirmed the rest of the term.
         known.logs_[1] = log_of("b", {3, 200}, false);
+        known.members_complete_ = false;
+        auto got = choose_promotion(known);
+        CPPUNIT_ASSERT_EQUAL(std::string("p"), got.id_);
+        CPPUNIT_ASSERT(got.needs_members_);
+        // No other endpoint confirmed it.
+        known.members_complete_ = true;
         CPPUNIT_ASSERT_EQUAL(std::string("b"), choose_promotion(known).id_);
         known.logs_.push_back({.id_ = "c"});
         CPPUNIT_ASSERT_EQUAL(std::string("p"), choose_promotion(known).id_);
--- a/coordination/takeover.cc
+++ b/coordination/takeover.cc
@@ -88,7 +88,7 @@
 
 takeover::actions takeover::on_status(const std::string& id,
                                       std::optional<endpoint_status> status,
-                                      instant now)
+                                      instant now, answer_path path)
 {
     member_state* member = find(id);
     if (member == nullptr || finished() || phase_ == phase::recording_end)
@@ -101,6 +101,7 @@
     if (status)
     {
         member->status_ = *status;
+        member->path_ = path;
         member->seen_as_replica_ =
             member->seen_as_replica_ || !status->primary_;
     }
@@ -112,7 +113,10 @@
         return status ? demote_returned_primary(*member) : actions{};
     // An order of an earlier attempt took effect in the meantime.
     if (status && is_new_primary(id, *status))
-        return finish(id, "another endpoint is already primary", now);
+        return task_.pending_.ordered_.value_or(id) == id
+                   ? finish(id, "another endpoint is already primary", now)
+                   : give_up("another endpoint than the ordered one is primary",
+                             now);
     if (phase_ == phase::comparing)
         return evaluate_comparison(now);
     if (phase_ == phase::demoting)
@@ -120,7 +124,7 @@
         if (id != task_.primary_id_ || !status || status->primary_)
             return {};
         stepped_down_ = true;
-        step_down_confirmed_at_ = now;
+        stepped_down_at_ = step_down_confirmed_at_ = now;
         phase_ = phase::settling;
         phase_since_ = now;
         return {};
@@ -139,11 +143,17 @@
 
 takeover::actions takeover::evaluate_inspection(instant now)
 {
-    bool all = std::all_of(members_.begin(), members_.end(),
-                           [](const member_state& member)
-                           {
-                               return member.answered_ || member.failed_;
-                           });
+    // A slow primary answers other hosts sooner, but is not cut off from this
+    // host.
+    bool all =
+        std::all_of(members_.begin(), members_.end(),
+                    [this](const member_state& member)
+                    {
+                        bool primary = member.info_.id_ == task_.primary_id_;
+                        bool relayed = member.path_ == answer_path::relayed;
+                        return member.failed_ ||
+                               (member.answered_ && !(primary && relayed));
+                    });
     if (!all && now - phase_since_ < options_.inspect_timeout_ms_)
         return {};
     std::uint64_t newest = 0;
@@ -190,6 +200,9 @@
         return replace_primary(now);
     if (ordered || task_.reason_ == takeover_reason::no_primary)
         return finish(task_.primary_id_, "the endpoint is primary", now);
+    // This host's callers need a primary that this host reaches.
+    if (primary.path_ == answer_path::relayed)
+        return replace_primary(now);
     return start_comparison(now);
 }
 
@@ -233,6 +246,7 @@
 
 takeover::actions takeover::replace_primary(instant now)
 {
+    primary_answered_ = true;
     // A pending order for this primary would undo the step down.
     if (task_.pending_.ordered_ == task_.primary_id_)
     {
@@ -304,8 +318,11 @@
     case phase::pausing:
     {
         actions out = check_paused(now);
-        return out.empty() ? ask_replicas(kind::pause, options_.repeat_ms_, now)
-                           : out;
+        if (!out.empty())
+            return out;
+        out = ask_replicas(kind::pause, options_.repeat_ms_, now);
+        command_silent_primary(out, kind::ask_status, options_.repeat_ms_, now);
+        return out;
     }
     case phase::ordering:
         return tick_ordering(now);
@@ -331,15 +348,41 @@
     case phase::recording_end:
     case phase::resuming:
         return {};
+    case phase::pausing:
+    case phase::recording_target:
     case phase::ordering:
-        // The order cannot be cancelled, so the new endpoint must not confirm
-        // changes.
-        if (find(id) == nullptr)
-            members_.push_back({.info_ = {.id_ = id}, .asked_at_ = now});
-        return {{kind::pause, id, pause_term_}};
+        // Its log is compared with the others before an order is sent. An order
+        // that was sent cannot be cancelled, so it must not confirm changes.
+        return add_member(id, kind::pause, now);
     default:
-        return give_up("an endpoint joined", now);
+        return add_member(id, kind::ask_status, now);
     }
 }
 
+takeover::actions takeover::add_member(const std::string& id, kind command,
+                                       instant now)
+{
+    member_state* known = find(id);
+    if (known == nullptr)
+        members_.push_back({.info_ = {.id_ = id}, .asked_at_ = now});
+    else
+        known->info_.listed_ = true;
+    return {{command, id, pause_term_}};
+}
+
+takeover::actions takeover::request_list(instant now)
+{
+    if (list_requested_at_ != never &&
+        now - list_requested_at_ < options_.repeat_ms_)
+        return {};
+    list_requested_at_ = now;
+    return {{kind::list_members}};
+}
+
+takeover::actions takeover::on_members_listed(instant requested_at, instant now)
+{
+    listed_at_ = requested_at;
+    return phase_ == phase::pausing ? check_paused(now) : actions{};
+}
+
 } // namespace tanagerspan
--- a/coordination/takeover.h
+++ b/coordination/takeover.h
@@ -11,10 +11,19 @@
 //   - A primary that answers is first told to step down, and nothing is
 //     acknowledged from then on. Writes wait for the second that the promotion
 //     takes. Its log is then complete, so a replica without an answer does not
-//     hold up the promotion of one that has reached the end of that log.
-//   - A primary that does not answer cannot be made to step down. Replication
-//     to its replicas is paused instead, so that they confirm nothing more, and
-//     their logs are compared.
+//     hold up the promotion of one that has reached the end of that log. If
+//     none has, the list of endpoints is read again: one that joined shortly
+//     before may have confirmed what the others lack.
+//   - A primary that this host does not reach may be reached by other hosts,
+//     which carry out the commands for it (see node/endpoint_commands.h). It is
+//     told to step down in the same way. Pausing its replicas would prove
+//     nothing: an endpoint that joins confirms changes from its first moment,
+//     before any host knows it.
+//   - A primary that no host reaches cannot be made to step down, and gets no
+//     new changes. Replication to its replicas is paused, so that they confirm
+//     nothing more, and their logs are compared. The list of endpoints is read
+//     again, since one that joined shortly before may have the longest log. If
+//     the primary answers meanwhile, it is told to step down after all.
 //   - A pause names exactly the term that the promotion starts. The promotion
 //     then ends every pause, also one that arrives after it. Only if an earlier
 //     attempt may have promoted an endpoint to a term that no answer shows, the
@@ -81,6 +90,13 @@
     std::optional<log_position> received_bound_{};
 };
 
+/// How an endpoint's answer reached this host.
+enum class answer_path
+{
+    direct,
+    relayed ///< another host asked; this host may not reach the endpoint
+};
+
 /// The input of an attempt.
 struct takeover_task
 {
@@ -104,7 +120,8 @@
         resume,    ///< resume replication to a replica
         /// Write the row of an order; uses `term_` and `floor_`.
         record_target,
-        order, ///< order the platform to promote the endpoint
+        list_members, ///< read the list of the group's endpoints
+        order,        ///< order the platform to promote the endpoint
         /// Write the row of the attempt's end, before replicas are resumed.
         record_end,
         finish ///< the last action of an attempt
@@ -171,10 +188,14 @@
     /// answer.
     std::vector<takeover_action>
     on_status(const std::string& id, std::optional<endpoint_status> status,
-              instant now);
+              instant now, answer_path path = answer_path::direct);
     /// The endpoint is running, but answered with an error, such as too many
     /// connections.
     std::vector<takeover_action> on_refused(const std::string& id, instant now);
+    /// The list that `list_members` asked for at `requested_at` was read.
+    /// Endpoints that it showed first were passed to `on_joined` before.
+    std::vector<takeover_action> on_members_listed(instant requested_at,
+                                                   instant now);
     /// An endpoint joined the group. It may receive changes that no other
     /// endpoint has.
     std::vector<takeover_action> on_joined(const std::string& id, instant now);
@@ -230,6 +251,7 @@
         bool failed_ = false;  ///< no answer to the last status statement
         bool refused_ = false; ///< running, but too busy to answer
         endpoint_status status_{};
+        answer_path path_ = answer_path::direct; ///< of `status_`
         instant paused_at_ = never; ///< last confirmation of the pause
         instant asked_at_ = never;
         bool seen_as_replica_ = false; ///< an answer reported a replica
@@ -253,6 +275,15 @@
     actions demote(instant now);
     actions pause_replicas(instant now);
     actions on_pause_answer(member_state& member, bool answered, instant now);
+    /// Adds a command for a primary that did not answer, at most every
+    /// `after_ms`.
+    void command_silent_primary(actions& out, takeover_action::kind command,
+                                std::int64_t after_ms, instant now);
+    actions add_member(const std::string& id, takeover_action::kind command,
+                       instant now);
+    actions request_list(instant now);
+    /// Whether the primary, which has not stepped down, reports that it works.
+    bool is_primary_back(const member_state& member) const;
     actions check_paused(instant now);
     promotion_evidence collect_evidence(instant now) const;
     actions repeat_order(instant now);
@@ -285,9 +316,17 @@
     std::vector<member_state> members_;
     log_position primary_position_{};
     bool stepped_down_ = false; ///< this attempt made the primary step down
+    instant stepped_down_at_ = never;
     /// When the primary last confirmed that it has stepped down.
     instant step_down_confirmed_at_ = never;
+    instant list_requested_at_ = never;
+    /// When the list was requested that was read last. It counts only if that
+    /// was after the step down and, if the primary does not answer, as long as
+    /// a pause.
+    instant listed_at_ = never;
     bool pauses_sent_ = false;
+    /// The primary answered this attempt and has not stepped down.
+    bool primary_answered_ = false;
     std::string target_;
     std::uint64_t pause_term_ = 0;
     std::uint64_t newest_seen_term_ = 0; ///< the newest term in an answer
--- a/coordination/takeover_effect_test.cc
+++ b/coordination/takeover_effect_test.cc
@@ -49,6 +49,7 @@
             unpaused.paused_by_term_ = 0;
             for (const char* id : {"a", "b"})
                 attempt_.on_status(id, unpaused, instant{1});
+            attempt_.on_members_listed(instant{2}, instant{2});
             for (const char* id : {"a", "b"})
                 attempt_.on_status(id, paused_replica, instant{2});
             auto order = attempt_.on_target_recorded(true, instant{3});
--- a/coordination/takeover_order.cc
+++ b/coordination/takeover_order.cc
@@ -16,7 +16,9 @@
     phase_ = phase::pausing;
     phase_since_ = now;
     pauses_sent_ = true;
-    actions out;
+    list_requested_at_ = never;
+    // A primary that stepped down has the complete log.
+    actions out = stepped_down_ ? actions{} : request_list(now);
     for (member_state* member : replicas())
     {
         // The former primary receives nothing, so it confirms nothing.
@@ -25,11 +27,38 @@
         member->asked_at_ = now;
         out.push_back({kind::pause, member->info_.id_, pause_term_});
     }
+    if (member_state* primary = find(task_.primary_id_))
+    {
+        // Only an answer from now on shows that it works.
+        if (!stepped_down_ && !is_replica(*primary))
+            primary->answered_ = primary->failed_ = false;
+    }
+    command_silent_primary(out, kind::ask_status, options_.repeat_ms_, now);
     if (out.empty())
         return check_paused(now);
     return out;
 }
 
+bool takeover::is_primary_back(const member_state& member) const
+{
+    return !stepped_down_ && member.info_.id_ == task_.primary_id_ &&
+           member.answered_ && member.status_.primary_ &&
+           member.status_.term_ >= newest_seen_term_ &&
+           member.status_.term_ < pause_term_;
+}
+
+void takeover::command_silent_primary(actions& out, kind command,
+                                      std::int64_t after_ms, instant now)
+{
+    member_state* primary = find(task_.primary_id_);
+    bool silent = primary != nullptr && !stepped_down_ &&
+                  !is_replica(*primary) && target_ != task_.primary_id_;
+    if (!silent || now - primary->asked_at_ < after_ms)
+        return;
+    primary->asked_at_ = now;
+    out.push_back({command, primary->info_.id_, pause_term_});
+}
+
 takeover::actions takeover::on_pause_answer(member_state& member, bool answered,
                                             instant now)
 {
@@ -41,6 +70,10 @@
             step_down_confirmed_at_ = now;
         return check_paused(now);
     }
+    // Endpoints that joined may confirm changes of a primary that works again,
+    // whatever the logs of the paused replicas show.
+    if (is_primary_back(member))
+        return replace_primary(now);
     bool paused = answered && member.status_.paused_by_term_ >= pause_term_;
     if (paused)
         member.paused_at_ = now;
@@ -60,6 +93,11 @@
         now - step_down_confirmed_at_ <= options_.pause_valid_ms_;
     if (stepped_down_ && still_stepped_down)
         out.stepped_down_ = task_.primary_id_;
+    // Nothing is acknowledged after the step down.
+    out.members_complete_ =
+        stepped_down_ ? listed_at_ > stepped_down_at_
+                      : listed_at_ >= phase_since_ &&
+                            now - listed_at_ <= options_.pause_valid_ms_;
     // A pending order for the current primary changes nothing while it is
     // primary, and is refused once the platform has received the order of this
     // attempt.
@@ -109,11 +147,21 @@
         awaiting_answer = awaiting_answer || (!member->info_.listed_ &&
                                               !paused && !member->failed_);
     }
-    bool may_answer = (awaiting_silent || awaiting_answer) &&
-                      now - phase_since_ < options_.inspect_timeout_ms_;
+    // A primary that answered before may only have missed the step down.
+    const member_state* primary = find(task_.primary_id_);
+    bool awaiting_primary = primary_answered_ && !stepped_down_ &&
+                            primary != nullptr && !primary->failed_;
+    bool may_answer =
+        (awaiting_silent || awaiting_answer || awaiting_primary) &&
+        now - phase_since_ < options_.inspect_timeout_ms_;
     if (awaiting_pause || may_answer)
         return {};
     promotion_choice choice = choose_promotion(collect_evidence(now));
+    bool last_resort = choice.id_.empty() || choice.id_ == task_.primary_id_;
+    if (choice.needs_members_ && last_resort &&
+        (choice.id_.empty() ||
+         now - phase_since_ < options_.inspect_timeout_ms_))
+        return request_list(now);
     if (choice.id_.empty())
     {
         bool may_change = awaiting_silent ||
@@ -129,10 +177,13 @@
         return {};
     target_ = choice.id_;
     phase_ = phase::recording_target;
-    return {{.kind_ = kind::record_target,
-             .endpoint_id_ = target_,
-             .term_ = pause_term_,
-             .floor_ = find(target_)->status_.received_}};
+    actions out{{.kind_ = kind::record_target,
+                 .endpoint_id_ = target_,
+                 .term_ = pause_term_,
+                 .floor_ = find(target_)->status_.received_}};
+    // A primary that works again is replaced in another way.
+    command_silent_primary(out, kind::ask_status, 0, now);
+    return out;
 }
 
 takeover::actions takeover::on_target_recorded(bool recorded, instant now)
@@ -146,6 +197,10 @@
         return give_up("the takeover row could not be written", now);
     if (lease_expired(now))
         return give_up("the lease expired", now);
+    // The primary answered meanwhile.
+    const member_state* primary = find(task_.primary_id_);
+    if (!order_is_fence_ && primary != nullptr && is_primary_back(*primary))
+        return replace_primary(now);
     // Writing the row may have taken so long that pauses have lapsed.
     if (!order_is_fence_ &&
         choose_promotion(collect_evidence(now)).id_ != target_)
@@ -154,7 +209,10 @@
     phase_since_ = now;
     ordered_at_ = now;
     order_in_flight_ = true;
-    return {{kind::order, target_}};
+    actions out{{kind::order, target_}};
+    if (!order_is_fence_)
+        command_silent_primary(out, kind::step_down, 0, now);
+    return out;
 }
 
 takeover::actions takeover::on_ordered(order_outcome outcome, instant now)
@@ -218,6 +276,7 @@
     if (accepted && now - accepted_at_ >= options_.promotion_ms_)
         return give_up("the accepted promotion had no effect", now);
     actions out = accepted ? await_promotion(now) : repeat_order(now);
+    command_silent_primary(out, kind::step_down, options_.repeat_ms_, now);
     for (auto& member : members_)
     {
         if (member.info_.id_ == target_ ||
--- a/coordination/takeover_run_test.h
+++ b/coordination/takeover_run_test.h
@@ -66,6 +66,12 @@
             add(attempt.on_status(id, group.status(id), now));
         if (next.kind_ == takeover_action::kind::record_target)
             add(attempt.on_target_recorded(true, now));
+        if (next.kind_ == takeover_action::kind::list_members)
+        {
+            if (group.has_joined_)
+                add(attempt.on_joined("n", now));
+            add(attempt.on_members_listed(now, now));
+        }
         if (next.kind_ == takeover_action::kind::record_end)
             add(attempt.on_end_recorded(true, now));
         if (next.kind_ == takeover_action::kind::resume)
--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -94,6 +94,10 @@
           }),
       expiry_timer_(loop), planner_(options_.own_)
 {
+    takeovers_.list_endpoints_ = [this](std::function<void()> done)
+    {
+        endpoints_.refresh(std::move(done));
+    };
 }
 
 void fleet_control::start()
--- a/node/home_link.cc
+++ b/node/home_link.cc
@@ -61,6 +61,8 @@
               {"detail", why.detail_}});
     for (auto& [run, done] : std::exchange(pending_, {}))
         done(tl::unexpected(why));
+    for (auto& [id, done] : std::exchange(pending_commands_, {}))
+        done(tl::unexpected(why));
 }
 
 void home_link::send(frame_type type, std::uint64_t correlation,
@@ -80,6 +82,13 @@
     return id;
 }
 
+void home_link::command(const endpoint_command& request, command_handler done)
+{
+    std::uint64_t id = next_run_++;
+    pending_commands_.emplace(id, std::move(done));
+    send(frame_type::command, id, encode(request));
+}
+
 void home_link::abandon(std::uint64_t run)
 {
     if (pending_.erase(run) > 0 && is_open())
@@ -141,8 +150,27 @@
         leaving_ = true;
         return;
     }
-    if (frame.type_ != frame_type::run_reply)
+    if (frame.type_ == frame_type::run_reply)
+        return on_run_reply(frame);
+    if (frame.type_ == frame_type::command_reply)
+        on_command_reply(frame);
+}
+
+void home_link::on_command_reply(const peer_frame& frame)
+{
+    auto answer = decode<endpoint_command_reply>(frame.body_);
+    if (!answer)
+        return close(answer.error());
+    auto found = pending_commands_.find(frame.correlation_id_);
+    if (found == pending_commands_.end())
         return;
+    auto done = std::move(found->second);
+    pending_commands_.erase(found);
+    done(*answer);
+}
+
+void home_link::on_run_reply(const peer_frame& frame)
+{
     auto answer = decode<run_reply>(frame.body_);
     if (!answer)
         return close(answer.error());
@@ -158,11 +186,16 @@
 
 home_pool::~home_pool()
 {
-    for (auto& [address, link_entry] : links_)
+    close_all();
+}
+
+void home_pool::close_all()
+{
+    for (auto& [address, link_entry] : std::exchange(links_, {}))
     {
         if (link_entry.link_)
             link_entry.link_->close(
-                {error_code::leaving, "this proxy is stopping"});
+                {error_code::leaving, "the link is no longer used"});
     }
 }
 
--- a/node/home_link.h
+++ b/node/home_link.h
@@ -23,6 +23,7 @@
 #include <memory>
 #include <string>
 
+#include "protocol/endpoint_command.h"
 #include "protocol/peer_frame.h"
 #include "protocol/run_messages.h"
 #include "state/fleet_host.h"
@@ -35,6 +36,7 @@
 {
 public:
     using outcome_handler = std::function<void(result<remote_outcome>)>;
+    using command_handler = std::function<void(result<endpoint_command_reply>)>;
 
     home_link(boost::asio::io_context& loop, fleet_host home);
 
@@ -49,6 +51,10 @@
     /// Rolls back the transaction that the run with this id began.
     void roll_back(std::uint64_t transaction);
 
+    /// Lets the other proxy pass a command on to an endpoint. `done` receives
+    /// its reply or the failure with which the link closed.
+    void command(const endpoint_command& request, command_handler done);
+
     /// Sends a probe when one is due and applies the timeouts. Call it every
     /// few tens of milliseconds.
     void tick(instant now);
@@ -96,6 +102,8 @@
     static constexpr std::int64_t open_timeout_ms = 500;
 
     void process_frames();
+    void on_run_reply(const peer_frame& frame);
+    void on_command_reply(const peer_frame& frame);
     void on_frame(const peer_frame& frame);
     void send(frame_type type, std::uint64_t correlation,
               nlohmann::json body = nullptr);
@@ -103,6 +111,7 @@
     fleet_host home_;
     std::shared_ptr<byte_stream> stream_;
     std::map<std::uint64_t, outcome_handler> pending_;
+    std::map<std::uint64_t, command_handler> pending_commands_;
     std::uint64_t next_run_ = 1;
     instant opening_since_ = never;
     instant last_frame_at_ = never;
@@ -130,6 +139,9 @@
 
     void tick(instant now);
 
+    /// Closes all links.
+    void close_all();
+
     std::size_t open_links() const;
 
 private:
--- a/node/peer_server.cc
+++ b/node/peer_server.cc
@@ -35,9 +35,15 @@
 
 struct peer_server::peer : std::enable_shared_from_this<peer_server::peer>
 {
-    peer(tcp_socket socket, group_lookup groups)
+    peer(boost::asio::io_context& loop, tcp_socket socket,
+         endpoint_commands::options commands, group_lookup groups)
         : stream_(std::make_shared<byte_stream>(std::move(socket))),
-          groups_(std::move(groups))
+          groups_(std::move(groups)),
+          commands_(loop, std::move(commands),
+                    [this](const command_answer& got)
+                    {
+                        on_command_answer(got);
+                    })
     {
     }
 
@@ -90,6 +96,8 @@
             return abandon(frame.correlation_id_);
         case frame_type::rollback:
             return roll_back(frame.correlation_id_);
+        case frame_type::command:
+            return on_command(frame);
         default:
             return close({error_code::malformed, "unexpected frame type"});
         }
@@ -144,6 +152,44 @@
         new_run->run_->start();
     }
 
+    void on_command(const peer_frame& frame)
+    {
+        auto request = decode<endpoint_command>(frame.body_);
+        if (!request)
+            return close(request.error());
+        auto kind = static_cast<statement_kind>(request->kind_);
+        if (!is_relayed(kind))
+            return close({error_code::malformed, "not a takeover command"});
+        endpoint_entry endpoint{.id_ = request->endpoint_id_,
+                                .service_ = request->service_,
+                                .address_ = request->address_};
+        bool sent =
+            commands_.send(endpoint, {.kind_ = kind, .term_ = request->term_});
+        // The answer that is awaited belongs to an earlier command.
+        if (!sent)
+            return send(frame_type::command_reply, frame.correlation_id_,
+                        encode(endpoint_command_reply{}));
+        commanded_[endpoint.id_] = frame.correlation_id_;
+    }
+
+    void on_command_answer(const command_answer& got)
+    {
+        auto found = commanded_.find(got.endpoint_id_);
+        if (found == commanded_.end())
+            return;
+        std::uint64_t id = found->second;
+        commanded_.erase(found);
+        log_line(log_level::info, "command_relayed",
+                 {{"endpoint", got.endpoint_id_},
+                  {"statement_kind", static_cast<int>(got.kind_)},
+                  {"answered", got.status_.has_value()},
+                  {"detail", got.detail_},
+                  {"is_primary", got.status_ && got.status_->primary_}});
+        send(frame_type::command_reply, id,
+             encode(got.status_ ? reply_of(*got.status_)
+                                : endpoint_command_reply{}));
+    }
+
     void refuse_unknown_transaction(std::uint64_t id,
                                     const remote_statement& stmt)
     {
@@ -223,6 +269,7 @@
     void tick(instant now)
     {
         ended_runs_.clear();
+        commands_.tick(now);
         std::vector<std::shared_ptr<peer_run>> running;
         running.reserve(runs_.size());
         for (const auto& [id, run] : runs_)
@@ -236,11 +283,17 @@
     std::map<std::uint64_t, std::shared_ptr<peer_run>> runs_;
     std::map<std::uint64_t, kept_transaction> transactions_;
     std::vector<std::shared_ptr<peer_run>> ended_runs_;
+    endpoint_commands commands_;
+    /// The command whose answer an endpoint owes, by endpoint id.
+    std::map<std::string, std::uint64_t> commanded_;
     bool closed_ = false;
 };
 
-peer_server::peer_server(boost::asio::io_context& loop, group_lookup groups)
-    : groups_(std::move(groups)), acceptor_(loop)
+peer_server::peer_server(boost::asio::io_context& loop,
+                         endpoint_commands::options commands,
+                         group_lookup groups)
+    : loop_(loop), command_options_(std::move(commands)),
+      groups_(std::move(groups)), acceptor_(loop)
 {
 }
 
@@ -269,13 +322,13 @@
                 return;
             if (!error)
             {
-                auto connection =
-                    std::make_shared<peer>(std::move(socket),
-                                           [this](const std::string& service)
-                                           {
-                                               ++runs_;
-                                               return groups_(service);
-                                           });
+                auto connection = std::make_shared<peer>(
+                    loop_, std::move(socket), command_options_,
+                    [this](const std::string& service)
+                    {
+                        ++runs_;
+                        return groups_(service);
+                    });
                 peers_.push_back(connection);
                 connection->start();
                 if (leaving_)
--- a/node/peer_server.h
+++ b/node/peer_server.h
@@ -10,6 +10,9 @@
 // transactions are rolled back and its runs are abandoned. A statement of a
 // transaction that is no longer kept is answered as aborted.
 //
+// It also passes commands of takeovers on to endpoints that the other proxy
+// does not reach.
+//
 // Not thread safe: use on the traffic thread only.
 
 #include <cstdint>
@@ -18,6 +21,7 @@
 #include <memory>
 #include <string>
 
+#include "node/endpoint_commands.h"
 #include "node/endpoint_group.h"
 
 namespace tanagerspan
@@ -31,7 +35,9 @@
     using group_lookup =
         std::function<std::shared_ptr<endpoint_group>(const std::string&)>;
 
-    peer_server(boost::asio::io_context& loop, group_lookup groups);
+    /// `commands`: how commands are sent to endpoints.
+    peer_server(boost::asio::io_context& loop,
+                endpoint_commands::options commands, group_lookup groups);
     ~peer_server();
 
     /// Starts listening on `address`. Errors: unavailable, malformed.
@@ -59,6 +65,8 @@
 
     void accept_next();
 
+    boost::asio::io_context& loop_;
+    endpoint_commands::options command_options_;
     group_lookup groups_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::list<std::shared_ptr<peer>> peers_;
--- a/node/table_feed.cc
+++ b/node/table_feed.cc
@@ -76,17 +76,21 @@
                 });
 }
 
-void table_feed::refresh()
+void table_feed::refresh(std::function<void()> done)
 {
     store_.list(
         options_.table_,
-        [this,
+        [this, done = std::move(done),
          alive = std::weak_ptr<bool>(alive_)](result<table_snapshot> answer)
         {
             // A failure is left to the watch, which may also have
             // read more than this list.
-            if (!alive.expired() && answer && answer->version_ > version())
+            if (alive.expired() || !answer)
+                return;
+            if (answer->version_ > version())
                 on_list(std::move(*answer));
+            if (done)
+                done();
         });
 }
 
--- a/node/table_feed.h
+++ b/node/table_feed.h
@@ -78,8 +78,10 @@
     /// Lists the table and starts to watch it.
     void start();
 
-    /// Lists the table now, beside a watch that may be under way.
-    void refresh();
+    /// Lists the table now, beside a watch that may be under way. Calls `done`
+    /// once the copy has all rows that the store had at the time of this call;
+    /// never if the call fails.
+    void refresh(std::function<void()> done = nullptr);
 
     /// Whether the store answered the last call.
     bool connected() const
--- a/node/takeover_driver.cc
+++ b/node/takeover_driver.cc
@@ -37,7 +37,8 @@
                                  pending_handler pending_changed)
     : loop_(loop), store_(store), promotions_(promotions),
       options_(std::move(opts)), primary_changed_(std::move(primary_changed)),
-      pending_changed_(std::move(pending_changed)), timer_(loop)
+      pending_changed_(std::move(pending_changed)), timer_(loop),
+      relay_links_(loop)
 {
 }
 
@@ -87,9 +88,7 @@
                                       const std::vector<fleet_host>& hosts)
 {
     home_plan_ = std::move(plan);
-    host_names_.clear();
-    for (const auto& host : hosts)
-        host_names_.push_back(host.name_);
+    hosts_ = hosts;
 }
 
 std::int64_t takeover_driver::rank_of(const std::string& service) const
@@ -104,11 +103,35 @@
             ++rank;
         }
     }
-    auto ranking = rank_homes(service, host_names_, host_names_.size());
+    std::vector<std::string> names;
+    for (const auto& host : hosts_)
+        names.push_back(host.name_);
+    auto ranking = rank_homes(service, names, names.size());
     auto own = std::find(ranking.begin(), ranking.end(), options_.host_name_);
     return rank + (own - ranking.begin());
 }
 
+std::vector<fleet_host>
+takeover_driver::relays_of(const std::string& service) const
+{
+    std::vector<fleet_host> out;
+    auto add = [&](const fleet_host& host)
+    {
+        bool known = host.name_ == options_.host_name_ ||
+                     std::find(out.begin(), out.end(), host) != out.end();
+        if (!known && !host.peers_address_.empty())
+            out.push_back(host);
+    };
+    if (home_plan_ && home_plan_->contains(service))
+    {
+        for (const auto& home : home_plan_->at(service).claim_order_)
+            add(home);
+    }
+    for (const auto& host : hosts_)
+        add(host);
+    return out;
+}
+
 void takeover_driver::on_health(const std::string& service,
                                 const primary_health& health)
 {
@@ -146,6 +169,7 @@
 void takeover_driver::tick()
 {
     instant now = monotonic_now();
+    relay_links_.tick(now);
     for (auto& [name, state] : services_)
     {
         if (state.claim_ &&
@@ -158,7 +182,8 @@
         if (state.attempt_)
         {
             perform(state, state.attempt_->tick(now));
-            replace_timed_out_links(state, now);
+            if (state.commands_)
+                state.commands_->tick(now);
         }
         else if (may_claim)
         {
@@ -166,6 +191,14 @@
                 claim(state, *reason, now);
         }
     }
+    bool any_attempt =
+        std::any_of(services_.begin(), services_.end(),
+                    [](const auto& service)
+                    {
+                        return service.second.attempt_ != nullptr;
+                    });
+    if (!any_attempt)
+        relay_links_.close_all();
     schedule_tick();
 }
 
@@ -211,7 +244,15 @@
     state.row_ = row;
     state.row_version_ = std::max(state.row_version_, row_version);
     state.token_ = row.token_;
-    state.links_.clear();
+    state.commands_ = std::make_unique<endpoint_commands>(
+        loop_,
+        endpoint_commands::options{.codec_ = options_.codec_,
+                                   .host_name_ = options_.host_name_},
+        [this, &state](const command_answer& got)
+        {
+            on_command_answer(state, got);
+        });
+    state.commands_->set_relays(&relay_links_, relays_of(state.name_));
     state.attempt_ = std::make_unique<takeover>(
         options_.attempt_,
         takeover_task{.reason_ = state.claim_reason_,
@@ -266,7 +307,7 @@
         case kind::pause:
         case kind::step_down:
         case kind::resume:
-            send_statement(state, action.endpoint_id_, statement_of(action));
+            send_command(state, action.endpoint_id_, statement_of(action));
             break;
         case kind::record_target:
             record(state,
@@ -281,6 +322,9 @@
                                 action.term_),
                    &takeover::on_end_recorded);
             break;
+        case kind::list_members:
+            list_members(state);
+            break;
         case kind::order:
             send_order(state, action.endpoint_id_);
             break;
@@ -302,87 +346,55 @@
     return state.departed_.find(id);
 }
 
-void takeover_driver::send_statement(service_state& state,
-                                     const std::string& id,
-                                     const statement& request)
+void takeover_driver::send_command(service_state& state, const std::string& id,
+                                   const statement& command)
 {
     const endpoint_entry* entry = find_entry(state, id);
-    if (entry == nullptr)
+    if (entry != nullptr)
+        state.commands_->send(*entry, command);
+}
+
+void takeover_driver::on_command_answer(service_state& state,
+                                        const command_answer& got)
+{
+    const auto& status = got.status_;
+    log_line(log_level::info, "takeover_answer",
+             {{"service", state.name_},
+              {"endpoint", got.endpoint_id_},
+              {"statement_kind", static_cast<int>(got.kind_)},
+              {"answered", status.has_value()},
+              {"relay", got.relay_},
+              {"detail", got.detail_},
+              {"is_primary", status && status->primary_},
+              {"term", status ? status->term_ : 0},
+              {"received_term", status ? status->received_.term_ : 0},
+              {"received_index", status ? status->received_.index_ : 0},
+              {"paused_by_term", status ? status->paused_by_term_ : 0},
+              {"lag_ms", status ? status->lag_ms_ : 0}});
+    if (!state.attempt_)
         return;
-    member_link& target = state.links_[id];
-    std::weak_ptr<bool> alive = alive_;
-    auto on_answer = [this, &state, id, alive,
-                      kind = request.kind_](const result<reply>& answer)
-    {
-        if (alive.expired())
-            return;
-        std::optional<endpoint_status> status;
-        if (answer)
-        {
-            if (auto row = options_.codec_->status_of(*answer))
-                status = *row;
-        }
-        log_line(
-            log_level::info, "takeover_answer",
-            {{"service", state.name_},
-             {"endpoint", id},
-             {"statement_kind", static_cast<int>(kind)},
-             {"answered", status.has_value()},
-             {"detail", !answer ? answer.error().detail_
-                        : answer->error_
-                            ? std::string(tanagerspan::name_of(*answer->error_))
-                            : ""},
-             {"is_primary", status && status->primary_},
-             {"term", status ? status->term_ : 0},
-             {"received_term", status ? status->received_.term_ : 0},
-             {"received_index", status ? status->received_.index_ : 0},
-             {"paused_by_term", status ? status->paused_by_term_ : 0},
-             {"lag_ms", status ? status->lag_ms_ : 0}});
-        if (!state.attempt_)
-            return;
-        bool refused = answer && answer->error_;
-        instant now = monotonic_now();
-        perform(state, refused ? state.attempt_->on_refused(id, now)
-                               : state.attempt_->on_status(id, status, now));
-    };
-    // A resume is sent at once, without waiting for the answer to a pause.
-    bool can_send = target.link_ && target.link_->is_ready() &&
-                    (!target.link_->awaits_reply() ||
-                     request.kind_ == statement_kind::resume_receiving);
-    if (can_send)
-    {
-        target.sent_at_ = monotonic_now();
-        target.link_->enqueue(request, on_answer);
-        return target.link_->flush();
-    }
-    if (target.link_ && target.link_->awaits_reply())
-        return; // `tick` replaces the link if the answer times out.
-    target.sent_at_ = monotonic_now();
-    target.link_ = std::make_shared<endpoint_link>(
-        loop_,
-        endpoint_link::options{.codec_ = options_.codec_,
-                               .user_ = options_.host_name_},
-        *entry);
-    auto link = target.link_;
-    link->open(
-        [link, request, on_answer](const result<reply>& opened)
-        {
-            if (!opened || opened->error_)
-                return on_answer(opened);
-            link->enqueue(request, on_answer);
-            link->flush();
-        });
+    instant now = monotonic_now();
+    answer_path path =
+        got.relay_.empty() ? answer_path::direct : answer_path::relayed;
+    perform(state, got.refused_
+                       ? state.attempt_->on_refused(got.endpoint_id_, now)
+                       : state.attempt_->on_status(got.endpoint_id_, status,
+                                                   now, path));
 }
 
-void takeover_driver::replace_timed_out_links(service_state& state, instant now)
+void takeover_driver::list_members(service_state& state)
 {
-    for (auto& [id, target] : state.links_)
-    {
-        if (target.link_ && target.link_->awaits_reply() &&
-            now - target.sent_at_ > options_.statement_timeout_ms_)
-            std::exchange(target.link_, nullptr)
-                ->close({error_code::lost, "statement timed out"});
-    }
+    if (!list_endpoints_)
+        return;
+    list_endpoints_(
+        [this, &state, token = state.token_, requested_at = monotonic_now(),
+         alive = std::weak_ptr<bool>(alive_)]
+        {
+            if (alive.expired() || !state.attempt_ || state.token_ != token)
+                return;
+            perform(state, state.attempt_->on_members_listed(requested_at,
+                                                             monotonic_now()));
+        });
 }
 
 void takeover_driver::send_order(service_state& state, const std::string& id)
@@ -431,10 +443,12 @@
     takeover_row row =
         make_end_row(state.row_, action.endpoint_id_,
                      state.attempt_->pending_at(monotonic_now()), action.term_);
-    // Destroys the attempt later: this function may be called while one of
-    // the attempt's own functions is on the stack.
-    boost::asio::post(loop_, [attempt = std::shared_ptr<takeover>(
-                                  std::move(state.attempt_))] {});
+    // Destroys the attempt and its connections later: this function may be
+    // called while one of their own functions is on the stack.
+    boost::asio::post(
+        loop_, [attempt = std::shared_ptr<takeover>(std::move(state.attempt_)),
+                commands = std::shared_ptr<endpoint_commands>(
+                    std::move(state.commands_))] {});
     auto on_written = [this, &state, token = state.token_](bool applied)
     {
         if (!applied)
--- a/node/takeover_driver.h
+++ b/node/takeover_driver.h
@@ -26,7 +26,7 @@
 #include "coordination/home_plan.h"
 #include "coordination/takeover.h"
 #include "coordination/takeover_trigger.h"
-#include "node/endpoint_link.h"
+#include "node/endpoint_commands.h"
 #include "protocol/promotion_order.h"
 #include "protocol/table_store.h"
 
@@ -47,9 +47,6 @@
         /// Period of the timer while a service has a suspicion, a claim or an
         /// attempt; otherwise the timer is off.
         std::int64_t tick_period_ms_ = 25;
-        /// Timeout for the answer to a statement. When it expires, the link to
-        /// the endpoint is replaced.
-        std::int64_t statement_timeout_ms_ = 500;
         /// Timeout for the confirmation of a claim; the claim is then dropped.
         std::int64_t claim_timeout_ms_ = 1000;
         /// Delay between the hosts' attempts to write a row back, in the order
@@ -70,6 +67,10 @@
     using pending_handler =
         std::function<void(const std::string&, const pending_promotion&)>;
 
+    /// Lists the endpoints of all services, passes them to `set_endpoints` and
+    /// then calls its argument. Unset: nothing is listed.
+    std::function<void(std::function<void()>)> list_endpoints_;
+
     /// `primary_changed` is called for each newer takeover row that names a
     /// primary as the result of a finished takeover, `pending_changed` for each
     /// newer row.
@@ -96,11 +97,6 @@
                  std::int64_t era);
 
 private:
-    struct member_link
-    {
-        link_ptr link_;
-        instant sent_at_ = never;
-    };
     struct service_state
     {
         std::string name_;
@@ -117,12 +113,14 @@
         instant claimed_at_ = never;
         takeover_reason claim_reason_ = takeover_reason::silent;
         std::unique_ptr<takeover> attempt_;
+        std::unique_ptr<endpoint_commands> commands_; ///< of the attempt
         std::int64_t token_ = 0;
-        std::map<std::string, member_link> links_;
     };
 
     service_state& state_of(const std::string& service);
     std::int64_t rank_of(const std::string& service) const;
+    /// The other hosts: first those that have connections to the endpoints.
+    std::vector<fleet_host> relays_of(const std::string& service) const;
     void schedule_tick();
     void tick();
     void on_row(service_state& state, const table_row& row);
@@ -145,11 +143,12 @@
                 recorded_handler handler);
     const endpoint_entry* find_entry(const service_state& state,
                                      const std::string& id) const;
-    void send_statement(service_state& state, const std::string& id,
-                        const statement& request);
+    void send_command(service_state& state, const std::string& id,
+                      const statement& command);
+    void on_command_answer(service_state& state, const command_answer& got);
+    void list_members(service_state& state);
     void send_order(service_state& state, const std::string& id);
     void finish(service_state& state, const takeover_action& action);
-    void replace_timed_out_links(service_state& state, instant now);
 
     boost::asio::io_context& loop_;
     table_store& store_;
@@ -162,7 +161,8 @@
     static constexpr std::int64_t unknown_era = -1;
     std::int64_t era_ = unknown_era;
     instant hold_claims_until_ = never;
-    std::vector<std::string> host_names_;
+    std::vector<fleet_host> hosts_;
+    home_pool relay_links_;
     home_plan_ptr home_plan_;
     std::map<std::string, service_state> services_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/node/traffic_server.cc
+++ b/node/traffic_server.cc
@@ -16,6 +16,10 @@
 // arrive within this time.
 constexpr std::int64_t peer_notice_ms = 500;
 
+// Timeout for a command that another proxy passes on to an endpoint: shorter
+// than the other proxy waits for the answer.
+constexpr std::int64_t relayed_command_timeout_ms = 300;
+
 // Shorter waits are not reported: less than half of the shortest silence that
 // can start a takeover.
 constexpr std::int64_t min_reported_wait_ms = 300;
@@ -29,6 +33,9 @@
 traffic_server::traffic_server(boost::asio::io_context& loop, options opts)
     : loop_(loop), options_(std::move(opts)), acceptor_(loop), timer_(loop),
       homes_(loop), peers_(loop,
+                           {.codec_ = options_.codec_,
+                            .host_name_ = options_.host_name_,
+                            .timeout_ms_ = relayed_command_timeout_ms},
                            [this](const std::string& service)
                            {
                                return group_of(service);
--- a/protocol/peer_frame.h
+++ b/protocol/peer_frame.h
@@ -37,9 +37,11 @@
     rollback = 8,   ///< rolls back the transaction with this id
     leaving = 9,    ///< the sender accepts no new work
     probe = 10,     ///< answered immediately
-    probe_reply = 11
+    probe_reply = 11,
+    command = 12,      ///< a command for an endpoint; see endpoint_command.h
+    command_reply = 13 ///< the answer to a `command` frame
 };
-constexpr std::uint64_t last_frame_type = 11;
+constexpr std::uint64_t last_frame_type = 13;
 
 struct peer_frame
 {
--- a/stand_ins/session_endpoint.cc
+++ b/stand_ins/session_endpoint.cc
@@ -14,6 +14,7 @@
     std::shared_ptr<byte_stream> stream_;
     std::map<std::string, std::string> values_;
     std::map<std::string, statement> prepared_;
+    std::string user_;
     std::uint64_t transaction_ = 0;
     bool read_only_ = false;
 };
@@ -96,6 +97,10 @@
             options_.codec_->extract_caller_message(client->stream_->input());
         if (!got || !*got)
             return;
+        if (const auto* wanted = std::get_if<open_session>(&**got))
+            client->user_ = wanted->user_;
+        if (silent_for_.contains(client->user_))
+            return;
         if (const auto* wanted = std::get_if<open_session>(&**got))
             open(*client, *wanted);
         else if (const auto* what = std::get_if<statement>(&**got))
@@ -152,6 +157,16 @@
         });
 }
 
+reply session_endpoint::status(std::uint64_t paused_by_term) const
+{
+    return {.rows_ = {options_.codec_->status_row(
+                {.primary_ = options_.primary_,
+                 .term_ = options_.position_.term_,
+                 .received_ = options_.position_,
+                 .paused_by_term_ = paused_by_term})},
+            .text_ = "-"};
+}
+
 reply session_endpoint::answer(connection& client, const statement& what)
 {
     reply done{.text_ = "-"};
@@ -183,11 +198,13 @@
         client.prepared_.clear();
         return done;
     case statement_kind::status:
-        return {.rows_ = {options_.codec_->status_row(
-                    {.primary_ = options_.primary_,
-                     .term_ = options_.position_.term_,
-                     .received_ = options_.position_})},
-                .text_ = "-"};
+        return status(0);
+    case statement_kind::pause_receiving:
+        return status(options_.primary_ ? 0 : what.term_);
+    case statement_kind::step_down:
+        options_.primary_ =
+            options_.primary_ && what.term_ <= options_.position_.term_;
+        return status(0);
     case statement_kind::read:
     case statement_kind::write:
     case statement_kind::execute:
--- a/stand_ins/session_endpoint.h
+++ b/stand_ins/session_endpoint.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -74,6 +75,8 @@
 
     options options_;
     std::function<std::optional<fault>(const statement&)> faults_;
+    /// Proxies that get no answer, as if a network cut separated them.
+    std::set<std::string> silent_for_;
     std::vector<ran_statement> ran_;
     std::vector<statement> asked_; ///< all received, run or not
     std::size_t opened_ = 0;
@@ -86,6 +89,7 @@
     void serve(const std::shared_ptr<connection>& client);
     void open(connection& client, const open_session& wanted);
     void run(connection& client, const statement& what);
+    reply status(std::uint64_t paused_by_term) const;
     reply answer(connection& client, const statement& what);
     reply execute_statement(connection& client, const statement& what);
 
