--- a/node/fleet_control_test.cc
+++ b/node/fleet_control_test.cc
@@ -11,6 +11,7 @@
 {
     CPPUNIT_TEST_SUITE(fleet_control_test);
     CPPUNIT_TEST(settings_are_applied_in_time_after_a_lost_watch);
+    CPPUNIT_TEST(settings_are_applied_in_time_after_a_silent_outage);
     CPPUNIT_TEST(takeover_is_read_in_time_after_a_lost_watch);
     CPPUNIT_TEST(settings_are_read_after_a_restore);
     CPPUNIT_TEST(pending_promotion_is_published_until_it_is_done);
@@ -28,6 +29,25 @@
         assert_applied(3, settings_bound_ms);
     }
 
+    // Guards against settings that stay unread (CONFIG): a call that was sent
+    // in the last moments of a silent outage is never answered, although the
+    // store answers later ones.
+    void settings_are_applied_in_time_after_a_silent_outage()
+    {
+        constexpr std::int64_t silent_ms = 600;
+        start_with_settings("1");
+        std::int64_t version = 1;
+        for (std::int64_t moment_ms : {0, 30, 90, 170})
+        {
+            store_.set_silent(true);
+            run_for(silent_ms + moment_ms);
+            store_.set_silent(false);
+            ++version;
+            store_.put("settings", "all", std::to_string(version));
+            assert_applied(version, settings_bound_ms);
+        }
+    }
+
     // Regression: as above, for the rows of takeovers.
     void takeover_is_read_in_time_after_a_lost_watch()
     {
