Session tests listen on an address of their own process

The test asks for a free port on 127.0.0.1 and listens on it later; meanwhile another process took it. The home did not listen, no statement reached an endpoint, and the check read the last of no statements.

Change: the fixture uses a loopback address derived from the process id. The check is unchanged. Not shown by a run: the race itself is rare.

--- a/node/session_fixture_test.h
+++ b/node/session_fixture_test.h
@@ -5,11 +5,14 @@
 // group of stand-in endpoints, connected over loopback on one event loop.
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include <unistd.h>
+
 #include "node/traffic_server.h"
 #include "platform/line_codec.h"
 #include "stand_ins/session_endpoint.h"
@@ -96,11 +99,19 @@
     endpoint_list entries_;
     std::int64_t row_version_ = 1;
 
+    /// An address on which nothing listens. Each process uses a loopback
+    /// address of its own: between this call and the listening, another one
+    /// may take the port on a shared address.
     static std::string free_address(boost::asio::io_context& loop)
     {
-        boost::asio::ip::tcp::acceptor probe(
-            loop, {boost::asio::ip::address_v4::loopback(), 0});
-        return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+        auto pid = static_cast<std::uint32_t>(getpid());
+        boost::asio::ip::address_v4 own(boost::asio::ip::address_v4::bytes_type{
+            127, static_cast<unsigned char>(1 + (pid >> 16) % 250),
+            static_cast<unsigned char>(pid >> 8),
+            static_cast<unsigned char>(pid)});
+        boost::asio::ip::tcp::acceptor probe(loop, {own, 0});
+        return own.to_string() + ":" +
+               std::to_string(probe.local_endpoint().port());
     }
 
     /// Starts a proxy on a new address, to which callers connect from now on.
