--- a/coordination/takeover_effect_test.cc
+++ b/coordination/takeover_effect_test.cc
@@ -17,6 +17,7 @@
 class takeover_effect_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(takeover_effect_test);
+    CPPUNIT_TEST(silent_primary_is_told_to_step_down_with_the_order);
     CPPUNIT_TEST(endpoint_that_joins_after_the_order_is_paused);
     CPPUNIT_TEST(replica_that_restarts_after_the_order_is_paused_again);
     CPPUNIT_TEST(primary_that_returns_after_the_order_steps_down);
@@ -39,7 +40,7 @@
                            .claimed_at_ = instant{0}}};
         std::string target_;
         std::string other_;
-        std::vector<takeover_action> on_accepted_;
+        std::vector<takeover_action> on_ordering_;
 
         ordered_attempt()
         {
@@ -52,11 +53,10 @@
             attempt_.on_members_listed(instant{2}, instant{2});
             for (const char* id : {"a", "b"})
                 attempt_.on_status(id, paused_replica, instant{2});
-            auto order = attempt_.on_target_recorded(true, instant{3});
-            target_ = order.at(0).endpoint_id_;
+            on_ordering_ = attempt_.on_target_recorded(true, instant{3});
+            target_ = on_ordering_.at(0).endpoint_id_;
             other_ = target_ == "a" ? "b" : "a";
-            on_accepted_ =
-                attempt_.on_ordered(takeover::order_outcome::done, instant{10});
+            attempt_.on_ordered(takeover::order_outcome::done, instant{10});
         }
     };
 
@@ -71,6 +71,15 @@
                            });
     }
 
+    // Guards against the loss of an acknowledged change (LOST): a crashed
+    // primary was back just before the order and wrote changes, which an
+    // endpoint that joined confirmed before the next question to the primary.
+    void silent_primary_is_told_to_step_down_with_the_order()
+    {
+        ordered_attempt f;
+        CPPUNIT_ASSERT(contains(f.on_ordering_, kind::step_down, "p"));
+    }
+
     // Guards against the loss of an acknowledged change (LOST): the attempt
     // ended when its order was accepted. An endpoint that joined in the second
     // until the promotion took effect confirmed changes of the old primary.
