--- a/review/stand_in_2/world.py
+++ b/review/stand_in_2/world.py
@@ -385,6 +385,7 @@
         self.service = service
         self.seed_log = [(1, "seed")] * 5
         self.seen_token = -1
+        self.is_cut = False  # the primary doesn't reach its replicas
         self.on_order = None  # called with the member that is to be promoted
         self.members = [
             Member(self, f"i-{service}-{n}", n == 0) for n in range(size)
@@ -404,7 +405,7 @@
     def replicate(self):
         """Replicas receive what the primary's log has."""
         leader = self.primary()
-        if leader is None:
+        if leader is None or self.is_cut:
             return
         for member in self.members:
             if self.receives(member):
