--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""The primary is lost while the store is away; the proxies start anew."""
+"""A replica is replaced as planned; shortly after, the primary is lost."""
 
 import asyncio
 import os
@@ -8,7 +8,8 @@
 sys.path.insert(0, os.path.join(HERE, "..", "stand_in_2"))
 import world as w  # noqa: E402
 
-STORE_DOWN_S = 4.5  # the largest `for_s` of `platform_down` in the site file
+DRAIN_S = 7.0  # drainMs
+EXIT_AFTER_DRAIN_S = 0.8  # "and a little longer"
 
 ROUTE = {
     "name": "r1",
@@ -23,12 +24,15 @@
 }
 
 
-async def store_outage(world):
-    world.store.is_down = True
-    world.record.add("the store is down")
-    await asyncio.sleep(STORE_DOWN_S)
-    world.store.is_down = False
-    world.record.add("the store is back")
+async def leave(world, member):
+    """Reports `draining`, serves on for drainMs and a little longer, exits."""
+    member.draining = True
+    member.beat()
+    world.record.add(f"{member.id} reports draining")
+    await asyncio.sleep(DRAIN_S + EXIT_AFTER_DRAIN_S)
+    await member.stop()
+    world.store.remove("servers", member.id)
+    world.record.add(f"{member.id} has left")
 
 
 async def main(world, trouble):
@@ -38,12 +42,18 @@
     await world.start_edges()
     load = w.Load(world, "orders")
     await asyncio.sleep(4)
+    # Planned work, with and without the disruption.
+    new = w.Member(group, "i-ledger-new", False)
+    group.members.append(new)
+    await new.start()
+    world.record.add(f"{new.id} joins")
+    await asyncio.sleep(1)
+    world.spawn(leave(world, group.members[1]))
+    await asyncio.sleep(DRAIN_S - 0.7)
     if trouble:
-        world.spawn(store_outage(world))
-        await asyncio.sleep(0.2)
-        await group.members[0].stop()
+        group.members[0].go_dark()
         world.record.add(f"{group.members[0].id}, the primary, is lost for good")
-        await asyncio.sleep(1.5)
+    await asyncio.sleep(0.2)
     held = await w.check_recovery(world, load)
     leader = group.primary()
     print(f"primary: {leader.id if leader else 'none'}; running: "
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Nothing can confirm for a while; the primary itself stays healthy."""
+"""The primary is lost while the store is away; the proxies start anew."""
 
 import asyncio
 import os
@@ -8,8 +8,7 @@
 sys.path.insert(0, os.path.join(HERE, "..", "stand_in_2"))
 import world as w  # noqa: E402
 
-REPLICA_DOWN_S = 2.9  # less than a replica's crash in the site file (4.9)
-CUT_S = 4.3  # less than `primary_cut` in the site file (5.0)
+STORE_DOWN_S = 4.5  # the largest `for_s` of `platform_down` in the site file
 
 ROUTE = {
     "name": "r1",
@@ -24,25 +23,12 @@
 }
 
 
-async def crash(world, group, member):
-    """The member crashes; it comes back with its log, under a new id."""
-    await member.stop()
-    world.record.add(f"{member.id} crashes")
-    await asyncio.sleep(REPLICA_DOWN_S)
-    back = w.Member(group, member.id + "-again", False)
-    back.log, back.term = list(member.log), member.term
-    group.members.append(back)
-    await back.start()
-    world.record.add(f"{back.id} is back, {len(back.log)} entries")
-
-
-async def cut(world, group):
-    """The primary is partitioned from its replicas."""
-    group.is_cut = True
-    world.record.add("the primary is cut off from its replicas")
-    await asyncio.sleep(CUT_S)
-    group.is_cut = False
-    world.record.add("the cut has healed")
+async def store_outage(world):
+    world.store.is_down = True
+    world.record.add("the store is down")
+    await asyncio.sleep(STORE_DOWN_S)
+    world.store.is_down = False
+    world.record.add("the store is back")
 
 
 async def main(world, trouble):
@@ -53,9 +39,11 @@
     load = w.Load(world, "orders")
     await asyncio.sleep(4)
     if trouble:
-        world.spawn(crash(world, group, group.members[1]))
-        world.spawn(cut(world, group))
-        await asyncio.sleep(0.1)
+        world.spawn(store_outage(world))
+        await asyncio.sleep(0.2)
+        await group.members[0].stop()
+        world.record.add(f"{group.members[0].id}, the primary, is lost for good")
+        await asyncio.sleep(1.5)
     held = await w.check_recovery(world, load)
     leader = group.primary()
     print(f"primary: {leader.id if leader else 'none'}; running: "
