Takeovers: a stored record of the endpoints that may have confirmed changes

Cause: an endpoint that is leaving confirms changes until it ends. That it had been there was known only to hosts that ran then. A host that started later took the list of endpoints for all that may have confirmed changes, told the primary to step down and ordered a replica that lacked them.

Ruled out: the final fault (the claim names it: single new processes do the same); the primary's own log (with the primary crashed, too, the loss is the same).

Change: the store has a record of each service's endpoints, written when one joins. A claim is conditional on its version, so its holder knows it.

Evidence: hosts of the walk start anew now.

--- a/coordination/departed_endpoints.h
+++ b/coordination/departed_endpoints.h
@@ -11,12 +11,17 @@
 // time within which a running endpoint would have been listed again.
 //
 //   departed.update(listed, now);
+//   departed.merge(stored_record, now);
 //   departed.bound_logs(health.marks_);
 //   for (const auto& member : departed.members()) ...
 //
 // A new endpoint at the address of a departed one is its successor and has its
-// log, so the departed one is dropped. A host that starts later does not know
-// the endpoints that departed before.
+// log, so the departed one is dropped.
+//
+// A host that starts later has not seen the endpoints that departed before, so
+// the store keeps a record of all endpoints whose logs are not bounded
+// (member_record.h). `record` is what the store should have, and `merge` adds
+// what the store has: a recorded endpoint that is not listed has departed.
 //
 // No I/O; the caller passes the time. Control thread only.
 
@@ -27,6 +32,7 @@
 #include <vector>
 
 #include "coordination/freshness_marks.h"
+#include "coordination/member_record.h"
 #include "coordination/takeover.h"
 #include "state/instant.h"
 #include "state/service_catalogue.h"
@@ -39,6 +45,7 @@
 public:
     struct options
     {
+        std::string service_; ///< of the endpoints
         /// After this time since the removal of its entry, an endpoint is
         /// assumed to confirm nothing more. The entry lapses about six seconds
         /// after the endpoint's last report, so by the end of this time the
@@ -57,13 +64,33 @@
     /// `listed`: all current entries of the service.
     void update(std::span<const endpoint_entry> listed, instant now);
 
+    /// Adds the endpoints of the stored record. Call it after the first
+    /// `update`.
+    void merge(const member_record& stored, instant now);
+
     /// Bounds the logs of departed endpoints by marks of the service's primary,
     /// the oldest first.
     void bound_logs(std::span<const freshness_mark> marks);
 
+    /// What the store should have: the listed endpoints and the departed ones
+    /// whose logs are not bounded.
+    member_record record() const;
+
+    /// Whether a mark that was asked for at `now` would bound a log.
+    bool needs_mark(instant now) const;
+
+    /// When `needs_mark` becomes true; `never` if all logs are bounded.
+    instant next_mark_at() const;
+
     /// The departed endpoints as members of an attempt.
     std::vector<takeover_member> members() const;
 
+    /// Bounds what endpoints received that are in no record any more.
+    log_position bound() const
+    {
+        return bound_;
+    }
+
     /// The last entry of a departed endpoint, or null. Valid until `update`.
     const endpoint_entry* find(const std::string& id) const;
 
@@ -75,9 +102,13 @@
         std::optional<log_position> received_bound_{};
     };
 
+    bool is_listed(const endpoint_entry& previous) const;
+    void limit_entries();
+
     options options_;
     std::vector<endpoint_entry> listed_;
     std::vector<departed> departed_;
+    log_position bound_{};
 };
 
 } // namespace tanagerspan
--- a/coordination/group_walk_hosts_test.cc
+++ b/coordination/group_walk_hosts_test.cc
@@ -13,6 +13,9 @@
 // A later answer is dropped, as the host has replaced the link by then.
 constexpr std::int64_t answer_timeout_ms = 500;
 
+// Delay before a host writes a member record that differs from what it knows.
+constexpr std::int64_t record_delay_ms = 1000;
+
 // The longest delay before a host reads a change of the entries.
 constexpr std::int64_t max_entry_delay_ms = 2000;
 
@@ -33,6 +36,50 @@
     }
     host.attempt_.reset();
     add_trace("host crash " + host.name_);
+    if (chance(50))
+        start_anew(host);
+}
+
+void group_walk::start_anew(host_state& host)
+{
+    add_trace("new start of " + host.name_);
+    std::int64_t attempts = host.attempt_number_;
+    host = {.name_ = host.name_, .attempt_number_ = attempts};
+    observe_endpoints(host);
+    host.joined_.clear();
+    read_record(host);
+    observe_row(host);
+}
+
+void group_walk::read_record(host_state& host)
+{
+    host.record_version_ = record_version_;
+    host.departed_.merge(record_, now_);
+}
+
+void group_walk::write_records()
+{
+    for (auto& host : hosts_)
+    {
+        host.departed_.bound_logs(host.marks_);
+        if (host.suspended_ || host.departed_.record() == record_)
+        {
+            host.record_differs_since_ = never;
+            continue;
+        }
+        if (host.record_differs_since_ == never)
+            host.record_differs_since_ = now_;
+        if (now_ - host.record_differs_since_ < record_delay_ms)
+            continue;
+        host.record_differs_since_ = never;
+        if (host.record_version_ != record_version_)
+        {
+            read_record(host);
+            continue;
+        }
+        record_ = host.departed_.record();
+        host.record_version_ = ++record_version_;
+    }
 }
 
 void group_walk::announce_entries()
@@ -114,6 +161,9 @@
     std::int64_t wait = is_own ? 0 : claim_open ? 7500 : 1500;
     if (host.row_received_at_ != never && now_ - host.row_received_at_ < wait)
         return;
+    // A claim is conditional on the member record's version.
+    if (host.record_version_ != record_version_)
+        read_record(host);
     takeover_row next =
         make_claim_row(host.row_, now_ - host.row_received_at_, host.name_);
     request next_request{.host_ =
@@ -298,6 +348,7 @@
                           .members_ = std::move(known),
                           .pending_ = pending_commands_of(
                               host.row_, now_ - host.claimed_at_),
+                          .departed_bound_ = host.departed_.bound(),
                           .floor_ = host.row_.floor_,
                           .term_ = host.row_.term_,
                           .claimed_at_ = host.claimed_at_});
--- a/coordination/group_walk_test.cc
+++ b/coordination/group_walk_test.cc
@@ -40,6 +40,7 @@
         observe_endpoints(hosts_[i]);
         observe_row(hosts_[i]);
     }
+    record_ = hosts_.front().departed_.record();
 }
 
 bool group_walk::chance(int percent)
@@ -128,6 +129,7 @@
         }
     }
     read_late_entries();
+    write_records();
     for (std::size_t i = 0; i < hosts_.size(); ++i)
     {
         host_state& host = hosts_[i];
--- a/coordination/group_walk_test.h
+++ b/coordination/group_walk_test.h
@@ -6,9 +6,9 @@
 //
 // Each step picks one event: a request is carried out or answered, a command
 // without an answer arrives seconds late, a host claims, is suspended or
-// crashes, an endpoint crashes, restarts, is cut off, joins or leaves, a change
-// is written, or time passes. The invariant is that an endpoint that becomes
-// primary has every acknowledged change in its log.
+// crashes or starts anew, an endpoint crashes, restarts, is cut off, joins or
+// leaves, a change is written, or time passes. The invariant is that an
+// endpoint that becomes primary has every acknowledged change in its log.
 //
 // The walk runs the production decisions: `takeover`, `takeover_row` and
 // `departed_endpoints`.
@@ -115,6 +115,8 @@
         /// Since when this host has not read a change of the entries.
         instant entries_changed_ = never;
         departed_endpoints departed_{{}};
+        std::int64_t record_version_ = 0; ///< of the member record as read
+        instant record_differs_since_ = never;
         std::vector<endpoint_entry> listed_;
         std::vector<std::string> joined_; ///< not yet told to the attempt
         std::vector<freshness_mark> marks_;
@@ -143,6 +145,7 @@
     void restart(std::size_t index);
     void join();
     void change_hosts();
+    void start_anew(host_state& host);
 
     /// Whether the host's own connections reach the endpoint.
     bool reaches(std::size_t host, const member& endpoint) const;
@@ -169,6 +172,8 @@
     void announce_entries();
     void read_late_entries();
     void observe_endpoints(host_state& host);
+    void read_record(host_state& host);
+    void write_records();
     void claim(host_state& host);
     void perform(host_state& host, const std::vector<takeover_action>& actions);
     void carry_out_request(request& sent);
@@ -194,6 +199,8 @@
     std::vector<host_state> hosts_;
     takeover_row row_;
     std::int64_t row_version_ = 1;
+    member_record record_; ///< as stored
+    std::int64_t record_version_ = 1;
     instant row_changed_ = never;
     bool change_lost_ = false;
     int ids_used_ = 0;
--- a/coordination/promotion_choice.cc
+++ b/coordination/promotion_choice.cc
@@ -77,6 +77,8 @@
         if (!earlier_terms_complete)
             return obstacle::below_floor;
     }
+    if (!contains_primary && known.departed_bound_ > *candidate.received_)
+        return obstacle::log_unknown;
     for (const auto& other : known.logs_)
     {
         if (&other == &candidate || &other == primary)
--- a/coordination/promotion_choice.h
+++ b/coordination/promotion_choice.h
@@ -66,6 +66,9 @@
     /// `logs_` has every endpoint that had joined before the primary stepped
     /// down or was last heard of. Another one may have confirmed changes.
     bool members_complete_ = true;
+    /// What endpoints received that are no longer in the group and not among
+    /// `logs_` is at or before this position.
+    log_position departed_bound_{};
     log_position floor_{};
     std::uint64_t floor_term_ = 0; ///< the term that started at the floor
     /// The target of a promotion order that may still take effect.
--- a/coordination/promotion_choice_test.cc
+++ b/coordination/promotion_choice_test.cc
@@ -24,6 +24,9 @@
     CPPUNIT_TEST(row_keeps_pending_commands);
     CPPUNIT_TEST(row_survives_encoding);
     CPPUNIT_TEST(departed_endpoint_is_kept);
+    CPPUNIT_TEST(recorded_endpoint_that_is_not_listed_has_departed);
+    CPPUNIT_TEST(record_keeps_the_bound_of_a_departed_endpoint);
+    CPPUNIT_TEST(bound_of_departed_endpoints_holds_for_every_candidate);
     CPPUNIT_TEST_SUITE_END();
 
     static replica_log log_of(std::string id, log_position at, bool fixed)
@@ -212,6 +215,77 @@
         departed.update(listed, now);
         CPPUNIT_ASSERT(departed.members().empty());
     }
+
+    // Guards against the loss of an acknowledged change (LOST): a host that
+    // started after an endpoint had left did not know that this endpoint alone
+    // had confirmed changes.
+    void recorded_endpoint_that_is_not_listed_has_departed()
+    {
+        std::vector<endpoint_entry> listed{{.id_ = "a", .address_ = "x:1"},
+                                           {.id_ = "b", .address_ = "x:2"}};
+        instant now{1000};
+        departed_endpoints earlier({});
+        earlier.update(listed, now);
+        member_record stored = earlier.record();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, stored.endpoints_.size());
+        listed.pop_back();
+        earlier.update(listed, now);
+        // It stays in the record until its log is bounded.
+        CPPUNIT_ASSERT(earlier.record() == stored);
+        departed_endpoints later({});
+        later.update(listed, now);
+        later.merge(stored, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, later.members().size());
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), later.members()[0].id_);
+        CPPUNIT_ASSERT(later.find("b") != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::string("x:2"), later.find("b")->address_);
+        // A successor at its address has its log.
+        listed.push_back({.id_ = "c", .address_ = "x:2"});
+        departed_endpoints after_a_transfer({});
+        after_a_transfer.update(listed, now);
+        after_a_transfer.merge(stored, now);
+        CPPUNIT_ASSERT(after_a_transfer.members().empty());
+    }
+
+    // A host that starts after the record was cleared gets the bound only.
+    void record_keeps_the_bound_of_a_departed_endpoint()
+    {
+        std::vector<endpoint_entry> listed{{.id_ = "a", .address_ = "x:1"}};
+        instant now{1000};
+        departed_endpoints departed({});
+        departed.update(listed, now);
+        departed.merge({.endpoints_ = {{.id_ = "b", .address_ = "x:2"}}}, now);
+        CPPUNIT_ASSERT(!departed.needs_mark(now + 9000));
+        CPPUNIT_ASSERT(departed.needs_mark(now + 10'001));
+        std::vector<freshness_mark> marks{{now + 10'001, {1, 6}}};
+        departed.bound_logs(marks);
+        CPPUNIT_ASSERT(!departed.needs_mark(now + 20'000));
+        member_record stored = departed.record();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stored.endpoints_.size());
+        CPPUNIT_ASSERT(stored.bound_ == (log_position{1, 6}));
+        auto decoded = decode_text<member_record>(encode(stored).dump());
+        CPPUNIT_ASSERT(decoded && *decoded == stored);
+        departed_endpoints later({});
+        later.update(listed, now);
+        later.merge(stored, now);
+        CPPUNIT_ASSERT(later.members().empty());
+        CPPUNIT_ASSERT(later.bound() == (log_position{1, 6}));
+    }
+
+    // The log of the primary contains what any endpoint received.
+    void bound_of_departed_endpoints_holds_for_every_candidate()
+    {
+        promotion_evidence known{.logs_ = {log_of("a", {1, 9}, true)},
+                                 .departed_bound_ = {1, 10}};
+        auto got = choose_promotion(known);
+        CPPUNIT_ASSERT(got.why_not_ == promotion_obstacle::log_unknown);
+        known.departed_bound_ = {1, 9};
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), choose_promotion(known).id_);
+        known = {.logs_ = {log_of("p", {1, 9}, false)},
+                 .stepped_down_ = "p",
+                 .departed_bound_ = {1, 10}};
+        CPPUNIT_ASSERT_EQUAL(std::string("p"), choose_promotion(known).id_);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(promotion_choice_test);
--- a/coordination/takeover.h
+++ b/coordination/takeover.h
@@ -106,6 +106,8 @@
     std::string primary_id_; ///< empty: unknown
     std::vector<takeover_member> members_;
     pending_commands pending_{}; ///< of earlier attempts
+    /// See `promotion_evidence::departed_bound_`.
+    log_position departed_bound_{};
     log_position floor_{};       ///< from the claimed row
     std::uint64_t term_ = 0;     ///< from the claimed row
     instant claimed_at_ = never; ///< start of the lease
--- a/coordination/takeover_order.cc
+++ b/coordination/takeover_order.cc
@@ -86,7 +86,8 @@
 
 promotion_evidence takeover::collect_evidence(instant now) const
 {
-    promotion_evidence out{.floor_ = task_.floor_,
+    promotion_evidence out{.departed_bound_ = task_.departed_bound_,
+                           .floor_ = task_.floor_,
                            .floor_term_ = task_.term_,
                            .ordered_before_ = task_.pending_.ordered_};
     bool still_stepped_down =
--- a/daemons/tanager_edge_main.cc
+++ b/daemons/tanager_edge_main.cc
@@ -227,6 +227,15 @@
                                               service, order);
                                       });
                 },
+                .mark_wanted_ =
+                    [this](const std::string& service)
+                {
+                    boost::asio::post(traffic_,
+                                      [this, service]
+                                      {
+                                          traffic_server_.report_mark(service);
+                                      });
+                },
                 .settings_confirmed_ =
                     [this](instant at)
                 {
--- a/node/fleet_control.cc
+++ b/node/fleet_control.cc
@@ -90,6 +90,7 @@
           loop, store_, promotions,
           {.host_name_ = options_.own_.name_,
            .table_ = promotions_table,
+           .members_table_ = members_table,
            .codec_ = options_.codec_,
            .restore_hold_ms_ = options_.settings_bound_ms_},
           [this](const std::string& service, const std::string& primary,
@@ -107,6 +108,7 @@
     {
         endpoints_.refresh(std::move(done));
     };
+    takeovers_.request_mark_ = outputs_.mark_wanted_;
 }
 
 std::function<void(instant)> fleet_control::settings_complete_handler()
--- a/node/fleet_control.h
+++ b/node/fleet_control.h
@@ -87,6 +87,9 @@
             promoted_;
         /// Arguments: the service and the promotion order that may take effect.
         takeover_driver::pending_handler promotion_pending_;
+        /// Asks for the health of a service's primary with a mark that is
+        /// requested from now on.
+        std::function<void(const std::string&)> mark_wanted_{};
         /// Receives a time at which the settings published last were current.
         /// Only with `confirms_settings_`.
         std::function<void(instant)> settings_confirmed_{};
@@ -134,6 +137,7 @@
     /// Names of the tables that the proxies write.
     static constexpr const char* hosts_table = "tanager-hosts";
     static constexpr const char* promotions_table = "tanager-promotions";
+    static constexpr const char* members_table = "tanager-members";
     static constexpr const char* allowances_table = "tanager-allowances";
 
 private:
--- a/node/takeover_driver.cc
+++ b/node/takeover_driver.cc
@@ -38,7 +38,7 @@
     : loop_(loop), store_(store), promotions_(promotions),
       options_(std::move(opts)), primary_changed_(std::move(primary_changed)),
       pending_changed_(std::move(pending_changed)), timer_(loop),
-      relay_links_(loop)
+      record_timer_(loop), relay_links_(loop)
 {
 }
 
@@ -54,7 +54,9 @@
     if (found != services_.end())
         return found->second;
     service_state new_state{.name_ = service,
-                            .trigger_ = takeover_trigger(options_.trigger_)};
+                            .trigger_ = takeover_trigger(options_.trigger_),
+                            .departed_ =
+                                departed_endpoints({.service_ = service})};
     return services_.emplace(service, std::move(new_state)).first->second;
 }
 
@@ -75,7 +77,13 @@
     }
     instant now = monotonic_now();
     for (auto& [name, state] : services_)
+    {
         state.departed_.update(state.members_, now);
+        if (!std::exchange(state.endpoints_known_, true))
+            state.departed_.merge(state.record_, now);
+        check_record(state, now);
+    }
+    schedule_record_upkeep();
     for (const auto& [service, id] : joined)
     {
         service_state& state = state_of(service);
@@ -89,6 +97,7 @@
 {
     home_plan_ = std::move(plan);
     hosts_ = hosts;
+    schedule_record_upkeep();
 }
 
 void takeover_driver::hold_claims(instant until)
@@ -142,8 +151,12 @@
 {
     service_state& state = state_of(service);
     state.health_ = health;
+    instant now = monotonic_now();
     state.departed_.bound_logs(health.marks_);
-    state.trigger_.on_health(health, monotonic_now());
+    if (!health.marks_.empty())
+        check_record(state, now);
+    state.trigger_.on_health(health, now);
+    schedule_record_upkeep();
     schedule_tick();
 }
 
@@ -232,13 +245,17 @@
          {"unanswered_ms", state.health_.unanswered_since_ == never
                                ? 0
                                : now - state.health_.unanswered_since_}});
-    write_row(state, row,
-              [this, &state, token = row.token_](bool applied)
-              {
-                  bool current = state.claim_ && state.claim_->token_ == token;
-                  if (current && applied)
-                      start_attempt(state, state.row_version_);
-              });
+    write_claim(state, row,
+                [this, &state, token = row.token_](row_outcome outcome)
+                {
+                    if (!state.claim_ || state.claim_->token_ != token)
+                        return;
+                    if (outcome == row_outcome::written)
+                        start_attempt(state, state.row_version_);
+                    // The next tick claims by the rows that are known now.
+                    if (outcome == row_outcome::refused)
+                        state.claim_.reset();
+                });
 }
 
 void takeover_driver::start_attempt(service_state& state,
@@ -265,6 +282,7 @@
                       .members_ = members_of(state),
                       .pending_ =
                           pending_commands_of(row, now - state.claimed_at_),
+                      .departed_bound_ = state.departed_.bound(),
                       .floor_ = row.floor_,
                       .term_ = row.term_,
                       .claimed_at_ = state.claimed_at_});
@@ -283,8 +301,10 @@
 void takeover_driver::record(service_state& state, const takeover_row& row,
                              recorded_handler handler)
 {
-    auto done = [this, &state, handler, token = state.token_](bool recorded)
+    auto done =
+        [this, &state, handler, token = state.token_](row_outcome outcome)
     {
+        bool recorded = outcome == row_outcome::written;
         if (state.attempt_ && state.token_ == token)
             perform(state, (state.attempt_.get()->*handler)(recorded,
                                                             monotonic_now()));
@@ -296,7 +316,7 @@
                       [done, alive = std::weak_ptr<bool>(alive_)]
                       {
                           if (!alive.expired())
-                              done(false);
+                              done(row_outcome::refused);
                       });
 }
 
@@ -454,14 +474,14 @@
         loop_, [attempt = std::shared_ptr<takeover>(std::move(state.attempt_)),
                 commands = std::shared_ptr<endpoint_commands>(
                     std::move(state.commands_))] {});
-    auto on_written = [this, &state, token = state.token_](bool applied)
+    auto on_written = [this, &state, token = state.token_](row_outcome outcome)
     {
-        if (!applied)
+        if (outcome != row_outcome::written)
             state.trigger_.on_end_not_recorded(token);
         schedule_tick();
     };
     if (action.keep_row_)
-        return on_written(false);
+        return on_written(row_outcome::unknown);
     if (state.row_.token_ == state.token_)
         write_row(state, row, on_written);
 }
--- a/node/takeover_driver.h
+++ b/node/takeover_driver.h
@@ -6,6 +6,11 @@
 // and `takeover` make the decisions; this class passes events to them and
 // performs the actions that they return.
 //
+// A few hosts of each service, by their rank, keep the stored record of its
+// endpoints up to date (coordination/member_record.h). A claim is conditional
+// on the record's version. A host that has not read the record is refused once
+// and then knows it.
+//
 // When the store came back from an older copy, rows are missing or earlier than
 // those that this host knows. They are written back, and no claim is made
 // meanwhile: hosts that know the latest row come first.
@@ -17,6 +22,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -40,7 +46,8 @@
     struct options
     {
         std::string host_name_;
-        std::string table_; ///< name of the table of takeover rows
+        std::string table_;         ///< name of the table of takeover rows
+        std::string members_table_; ///< name of the table of member records
         const session_codec* codec_ = nullptr;
         takeover_trigger::options trigger_{};
         takeover::options attempt_{};
@@ -57,6 +64,14 @@
         /// which the other hosts see it, too: at the latest at the end of their
         /// watch of the settings.
         std::int64_t restore_hold_ms_ = 3000;
+        /// Delay per rank before a host writes a record that differs from the
+        /// endpoints that it knows. The first host also needs it at a start of
+        /// the whole fleet, to learn of the other hosts.
+        std::int64_t record_step_ms_ = 1000;
+        /// Number of hosts, by rank, that write a service's record.
+        std::int64_t recorders_ = 3;
+        /// A mark that was not reported is requested again after this time.
+        std::int64_t mark_retry_ms_ = 3000;
     };
     /// Arguments: the service, the id of its primary and the version of the
     /// takeover row that names this primary.
@@ -71,6 +86,10 @@
     /// then calls its argument. Unset: nothing is listed.
     std::function<void(std::function<void()>)> list_endpoints_;
 
+    /// Asks the traffic side to report the health of a service's primary with
+    /// a mark that is requested from now on. Unset: nothing is asked.
+    std::function<void(const std::string&)> request_mark_;
+
     /// `primary_changed` is called for each newer takeover row that names a
     /// primary as the result of a finished takeover, `pending_changed` for each
     /// newer row.
@@ -106,7 +125,14 @@
         takeover_trigger trigger_;
         primary_health health_;
         std::vector<endpoint_entry> members_;
-        departed_endpoints departed_{{}};
+        departed_endpoints departed_;
+        bool endpoints_known_ = false; ///< `members_` was set
+        member_record record_;         ///< as stored, by the last answer
+        std::int64_t record_version_ = 0;
+        /// Since when the stored record differs; never: it does not.
+        instant record_differs_since_ = never;
+        bool writing_record_ = false;
+        instant mark_requested_at_ = never;
         takeover_row row_;
         std::int64_t row_version_ = 0;
         instant row_received_at_ = never;
@@ -133,8 +159,33 @@
     void write_back(service_state& state, instant now);
     void claim(service_state& state, takeover_reason reason, instant now);
     void start_attempt(service_state& state, std::int64_t row_version);
+    enum class row_outcome
+    {
+        written,
+        refused, ///< a precondition did not hold; the rows are known now
+        unknown  ///< no answer; the row may be written later
+    };
+    using row_handler = std::function<void(row_outcome)>;
+    void write_row(service_state& state, const takeover_row& row,
+                   row_handler done);
+    /// As `write_row`, if the stored member record is the known one as well.
+    void write_claim(service_state& state, const takeover_row& row,
+                     row_handler done);
     void write_row(service_state& state, const takeover_row& row,
-                   std::function<void(bool)> done);
+                   std::vector<row_precondition> expected, row_handler done);
+    /// Processes the current rows of refused preconditions.
+    void on_current_rows(service_state& state,
+                         std::span<const row_precondition> expected,
+                         const table_snapshot& current);
+    void on_record(service_state& state, const table_row& row);
+    /// The store has no record, or perhaps another one than the known one.
+    void forget_record(service_state& state);
+    /// Compares the record with the endpoints and schedules what is due.
+    void check_record(service_state& state, instant now);
+    void schedule_record_upkeep();
+    void upkeep_records();
+    void write_record(service_state& state, instant now);
+    instant next_record_upkeep(const service_state& state) const;
     void perform(service_state& state,
                  const std::vector<takeover_action>& actions);
     std::vector<takeover_member> members_of(const service_state& state) const;
@@ -161,6 +212,8 @@
     pending_handler pending_changed_;
     boost::asio::steady_timer timer_;
     bool tick_scheduled_ = false;
+    boost::asio::steady_timer record_timer_;
+    instant record_timer_at_ = never; ///< never: the timer is off
     static constexpr std::int64_t unknown_era = -1;
     std::int64_t era_ = unknown_era;
     instant hold_claims_until_ = never;
--- a/node/takeover_driver_rows.cc
+++ b/node/takeover_driver_rows.cc
@@ -14,9 +14,17 @@
 void takeover_driver::on_rows(const std::map<std::string, table_row>& rows,
                               std::int64_t era)
 {
-    if (era_ != unknown_era && era > era_)
+    bool restored = era_ != unknown_era && era > era_;
+    if (restored)
         hold_claims(monotonic_now() + options_.restore_hold_ms_);
     era_ = std::max(era_, era);
+    for (auto& [service, state] : services_)
+    {
+        // The store may have another record than the known one.
+        if (restored)
+            forget_record(state);
+    }
+    schedule_record_upkeep();
     for (const auto& [service, row] : rows)
         on_row(state_of(service), row);
     for (auto& [service, state] : services_)
@@ -92,24 +100,40 @@
     state.write_back_at_ = now + retry_ms;
     write_row(state,
               make_restored_row(state.row_, now - state.row_received_at_),
-              [&state](bool applied)
+              [&state](row_outcome outcome)
               {
-                  if (applied)
+                  if (outcome == row_outcome::written)
                       state.write_back_at_ = never;
               });
 }
 
 void takeover_driver::write_row(service_state& state, const takeover_row& row,
-                                std::function<void(bool)> done)
+                                row_handler done)
 {
-    table_transaction change{
-        .expected_ = {{options_.table_, state.name_, state.row_version_}},
-        .put_ = {{.table_ = options_.table_,
-                  .key_ = state.name_,
-                  .value_ = encode(row).dump()}}};
+    write_row(state, row, {{options_.table_, state.name_, state.row_version_}},
+              std::move(done));
+}
+
+void takeover_driver::write_claim(service_state& state, const takeover_row& row,
+                                  row_handler done)
+{
+    write_row(state, row,
+              {{options_.table_, state.name_, state.row_version_},
+               {options_.members_table_, state.name_, state.record_version_}},
+              std::move(done));
+}
+
+void takeover_driver::write_row(service_state& state, const takeover_row& row,
+                                std::vector<row_precondition> expected,
+                                row_handler done)
+{
+    table_transaction change{.expected_ = std::move(expected),
+                             .put_ = {{.table_ = options_.table_,
+                                       .key_ = state.name_,
+                                       .value_ = encode(row).dump()}}};
     store_.transact(
         change,
-        [this, &state, row, expected_version = state.row_version_,
+        [this, &state, row, change, expected_version = state.row_version_,
          done = std::move(done), alive = std::weak_ptr<bool>(alive_)](
             const result<transaction_answer>& answer)
         {
@@ -129,16 +153,39 @@
                          {{"service", state.name_},
                           {"stage", row.stage_},
                           {"expected_version", number_of(expected_version)},
-                          {"reason", answer ? "the row has another version"
+                          {"reason", answer ? "a row has another version"
                                             : answer.error().detail_}});
             if (answer && !applied)
-            {
-                // The watch may be behind.
-                for (const auto& stored : answer->current_.rows_)
-                    on_row(state, stored);
-            }
-            done(applied);
+                on_current_rows(state, change.expected_, answer->current_);
+            done(applied  ? row_outcome::written
+                 : answer ? row_outcome::refused
+                          : row_outcome::unknown);
         });
 }
 
+void takeover_driver::on_current_rows(
+    service_state& state, std::span<const row_precondition> expected,
+    const table_snapshot& current)
+{
+    bool has_record = false;
+    // The watch may be behind.
+    for (const auto& stored : current.rows_)
+    {
+        bool is_record = stored.table_ == options_.members_table_;
+        has_record = has_record || is_record;
+        if (is_record)
+            on_record(state, stored);
+        else
+            on_row(state, stored);
+    }
+    bool record_expected =
+        std::any_of(expected.begin(), expected.end(),
+                    [this](const row_precondition& row)
+                    {
+                        return row.table_ == options_.members_table_;
+                    });
+    if (record_expected && !has_record)
+        forget_record(state);
+}
+
 } // namespace tanagerspan
--- a/node/traffic_server.cc
+++ b/node/traffic_server.cc
@@ -358,7 +358,7 @@
         bool quiet = health.unanswered_since_ == never &&
                      health.write_unanswered_since_ == never &&
                      !health.unreachable_;
-        if (quiet)
+        if (quiet && !has_wanted_mark(name, *gateway->group(), now))
         {
             health.last_answer_ = never;
             health.marks_.clear();
@@ -371,6 +371,27 @@
     }
 }
 
+void traffic_server::report_mark(const std::string& service)
+{
+    marks_wanted_[service] = monotonic_now();
+}
+
+bool traffic_server::has_wanted_mark(const std::string& service,
+                                     endpoint_group& group, instant now)
+{
+    auto wanted = marks_wanted_.find(service);
+    if (wanted == marks_wanted_.end())
+        return false;
+    auto newest = group.marks().newest();
+    if (newest && *newest >= wanted->second)
+    {
+        marks_wanted_.erase(wanted);
+        return true;
+    }
+    group.on_mark_needed(now);
+    return false;
+}
+
 void traffic_server::report_load(instant now)
 {
     if (now - load_reported_at_ < load_window_ms)
--- a/node/traffic_server.h
+++ b/node/traffic_server.h
@@ -108,6 +108,9 @@
     /// Called with a service and the health of its primary when that health
     /// changes in a way that matters for a takeover.
     std::function<void(const std::string&, const primary_health&)> on_health_;
+    /// Requests a mark of the service's primary and reports its health with
+    /// that mark, once it arrived.
+    void report_mark(const std::string& service);
     /// The metrics in the Prometheus text format.
     std::string metrics() const;
 
@@ -118,6 +121,9 @@
     void serve_peers();
     void tick_drain(instant now);
     void report_health(instant now);
+    /// Whether a mark arrived that is to be reported.
+    bool has_wanted_mark(const std::string& service, endpoint_group& group,
+                         instant now);
     void report_load(instant now);
     void write_load(std::ostream& out) const;
     /// Until when the settings are known to be young enough for keyed callers.
@@ -146,6 +152,8 @@
     std::map<std::string, promotion_record> promotions_;
     std::map<std::string, pending_promotion> pending_promotions_;
     std::map<std::string, primary_health> reported_;
+    /// Since when a report of a mark is requested, by service.
+    std::map<std::string, instant> marks_wanted_;
     route_table_ptr routes_;
     instant settings_confirmed_at_ = never;
     endpoint_list_ptr endpoints_;
