Takeovers: only a resume without an answer stays pending

Cause: an attempt that ends names all replicas that it resumes in its row, before it sends the commands. If one of them got no answer in time, the row was left as it was, and for 14 s no pause of any replica counted as proof: every attempt ended with "another log may still grow".

Change: the last row of such an attempt names those without an answer only.

--- a/coordination/takeover_end.cc
+++ b/coordination/takeover_end.cc
@@ -106,10 +106,12 @@
     phase_ = phase::resuming;
     if (now - end_started_at_ >= options_.resume_timeout_ms_)
     {
+        // The recorded end names all replicas to resume. The last row names
+        // only those whose commands may arrive late.
         for (auto& member : members_)
             member.resume_pending_ =
                 member.resume_pending_ || member.to_resume_;
-        return complete(true);
+        return complete(false);
     }
     actions out;
     for (auto& member : members_)
--- a/coordination/takeover_test.cc
+++ b/coordination/takeover_test.cc
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(busy_primary_is_kept);
     CPPUNIT_TEST(pending_order_is_repeated_for_its_target);
     CPPUNIT_TEST(no_replica_is_resumed_while_order_is_pending);
+    CPPUNIT_TEST(only_a_resume_without_an_answer_stays_pending);
     CPPUNIT_TEST(suspended_holder_sends_no_order);
     CPPUNIT_TEST(no_acknowledged_change_is_lost);
     CPPUNIT_TEST(replica_of_older_term_is_not_promoted);
@@ -283,6 +284,26 @@
         CPPUNIT_ASSERT(!run.ordered_);
     }
 
+    // Guards against a service that stays without a primary (RECOVER): the
+    // resume of an endpoint that had left got no answer, and for 14 seconds no
+    // pause of any replica counted.
+    void only_a_resume_without_an_answer_stays_pending()
+    {
+        takeover attempt =
+            started(takeover_reason::silent, {{"p"}, {"a"}, {"b"}});
+        pause_both_replicas(attempt);
+        attempt.on_target_recorded(false, instant{3});
+        attempt.on_end_recorded(true, instant{4});
+        attempt.on_status("a", replica_status(0), instant{5});
+        attempt.on_status("b", std::nullopt, instant{300});
+        auto last = attempt.tick(instant{1100});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, last.size());
+        CPPUNIT_ASSERT(last[0].kind_ == kind::finish && !last[0].keep_row_);
+        auto pending = attempt.pending_at(instant{1100}).resumed_;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pending.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), pending[0]);
+    }
+
     void no_replica_is_resumed_while_order_is_pending()
     {
         takeover attempt =
