Takeovers: unread logs count as lost after 8 s without a primary

No request was served any more, although two replicas had complete logs.

Cause: the log of a departed endpoint is unknown until a mark of a primary bounds it. Without a primary there is no mark, and the obstacle never ended.

Ruled out: bounding it otherwise. With the primary and the departed endpoint gone nothing tells what that endpoint received last. A change that only these two had cannot be read by anybody.

Change: once a host has known no primary for 8 s, departed endpoints that do not answer count as lost, unless the primary answers. An attempt that ends before that ends early. The reason is logged when a lease expires, and a claim logs what it knows (departed, without_primary_ms, resumed_before).

--- a/coordination/promotion_choice.cc
+++ b/coordination/promotion_choice.cc
@@ -39,15 +39,17 @@
 }
 
 /// Whether `candidate` contains every change that `other` may have confirmed.
-obstacle compare_logs(const replica_log& candidate, const replica_log& other,
+obstacle compare_logs(const promotion_evidence& known,
+                      const replica_log& candidate, const replica_log& other,
                       bool may_grow)
 {
     if (other.received_ && end_of_log(other) > end_of_log(candidate))
         return obstacle::behind;
     if (!other.received_)
     {
-        bool covered = !other.listed_ && other.received_bound_ &&
+        bool bounded = other.received_bound_ &&
                        *other.received_bound_ <= *candidate.received_;
+        bool covered = !other.listed_ && (bounded || known.unread_logs_lost_);
         return covered ? obstacle::none : obstacle::log_unknown;
     }
     return may_grow && !other.fixed_ ? obstacle::log_may_grow : obstacle::none;
@@ -77,13 +79,15 @@
         if (!earlier_terms_complete)
             return obstacle::below_floor;
     }
-    if (!contains_primary && known.departed_bound_ > *candidate.received_)
+    bool may_exceed = known.departed_bound_ > *candidate.received_ &&
+                      !known.unread_logs_lost_;
+    if (!contains_primary && may_exceed)
         return obstacle::log_unknown;
     for (const auto& other : known.logs_)
     {
         if (&other == &candidate || &other == primary)
             continue;
-        obstacle found = compare_logs(candidate, other, !stepped_down);
+        obstacle found = compare_logs(known, candidate, other, !stepped_down);
         bool unknown = found == obstacle::log_unknown;
         if (found != obstacle::none && !(contains_primary && unknown))
             return found;
--- a/coordination/promotion_choice.h
+++ b/coordination/promotion_choice.h
@@ -27,6 +27,11 @@
 // excludes a replica that missed a whole term, whichever other endpoints
 // answer, and a replica whose log diverged from the promoted endpoint's.
 //
+// A log that is never read would keep the group without a primary for ever.
+// Once the group has been without one for longer than a crashed endpoint takes
+// to come back, the logs of departed endpoints without an answer count as lost:
+// nobody can read the changes that only they had.
+//
 // While a promotion order may be pending, only its target can be promoted,
 // because an order cannot be cancelled.
 //
@@ -69,6 +74,8 @@
     /// What endpoints received that are no longer in the group and not among
     /// `logs_` is at or before this position.
     log_position departed_bound_{};
+    /// Departed endpoints without an answer are lost, with their logs.
+    bool unread_logs_lost_ = false;
     log_position floor_{};
     std::uint64_t floor_term_ = 0; ///< the term that started at the floor
     /// The target of a promotion order that may still take effect.
--- a/coordination/promotion_choice_test.cc
+++ b/coordination/promotion_choice_test.cc
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(log_of_stepped_down_primary_is_complete);
     CPPUNIT_TEST(only_target_of_pending_order_is_chosen);
     CPPUNIT_TEST(departed_endpoint_blocks_until_its_log_is_bounded);
+    CPPUNIT_TEST(lost_logs_are_no_obstacle);
     CPPUNIT_TEST(row_keeps_pending_commands);
     CPPUNIT_TEST(row_survives_encoding);
     CPPUNIT_TEST(departed_endpoint_is_kept);
@@ -140,6 +141,24 @@
         CPPUNIT_ASSERT(choose_promotion(known).id_.empty());
     }
 
+    // Guards against a service that stays without a primary (RECOVER): the log
+    // of an endpoint that had left was never read, and nothing bounded it.
+    void lost_logs_are_no_obstacle()
+    {
+        promotion_evidence known{.logs_ = {log_of("a", {1, 9}, true),
+                                           {.id_ = "g", .listed_ = false}},
+                                 .departed_bound_ = {1, 10},
+                                 .unread_logs_lost_ = true};
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), choose_promotion(known).id_);
+        // A listed endpoint runs, or its entry lapses soon.
+        known.logs_[1].listed_ = true;
+        CPPUNIT_ASSERT(choose_promotion(known).id_.empty());
+        // A log that was read is not lost.
+        known.logs_[1] = log_of("g", {1, 11}, true);
+        known.logs_[1].listed_ = false;
+        CPPUNIT_ASSERT(choose_promotion(known).id_.empty());
+    }
+
     // Regressions: a second claim dropped the pending order of the first one,
     // and the age of an order counted from its first sending.
     void row_keeps_pending_commands()
--- a/coordination/takeover.cc
+++ b/coordination/takeover.cc
@@ -288,7 +288,11 @@
     if (finished())
         return {};
     if (lease_expired(now) && !ending)
-        return give_up("the lease expired", now);
+        return give_up(obstacle_ == promotion_obstacle::none
+                           ? "the lease expired"
+                           : "the lease expired; " +
+                                 std::string(name_of(obstacle_)),
+                       now);
     return tick_phase(now);
 }
 
--- a/coordination/takeover.h
+++ b/coordination/takeover.h
@@ -35,6 +35,10 @@
 //     paused is kept, and the replicas are resumed: none of them could confirm
 //     a change.
 //
+//   - If an endpoint that departed has an unknown log and the primary does not
+//     answer, the attempt waits until the log counts as lost, or ends early so
+//     that the next one can.
+//
 // An order may take effect late. Its target is recorded before the order is
 // sent, and later attempts order the same endpoint as long as the order may be
 // pending (see takeover_row.h). If that endpoint is the primary by now, another
@@ -111,6 +115,8 @@
     log_position floor_{};       ///< from the claimed row
     std::uint64_t term_ = 0;     ///< from the claimed row
     instant claimed_at_ = never; ///< start of the lease
+    /// Since when this host has known no working primary; never: it knows one.
+    instant without_primary_since_ = never;
 };
 
 /// What the host is to do next for the attempt.
@@ -171,6 +177,13 @@
         /// endpoint that restarts forgets it, but needs longer than this to
         /// restart. It spans two repeats.
         std::int64_t pause_valid_ms_ = 600;
+        /// After this time without a primary, endpoints that departed and do
+        /// not answer count as lost with their logs. A crashed endpoint that
+        /// comes back at all is back by then.
+        std::int64_t lost_after_ms_ = 8000;
+        /// An attempt that cannot last until then waits so long for the answer
+        /// of a silent endpoint.
+        std::int64_t unread_log_wait_ms_ = 2000;
         /// An accepted promotion has taken effect after this; the platform
         /// states at most one second.
         std::int64_t promotion_ms_ = 1500;
@@ -295,6 +308,10 @@
     /// can.
     actions replace_invalid_choice(instant now);
     actions send_order(instant now);
+    /// Whether endpoints that departed and do not answer count as lost.
+    bool unread_logs_lost(instant now) const;
+    /// Whether the attempt's lease ends before `unread_logs_lost` can hold.
+    bool ends_before_logs_are_lost() const;
     actions repeat_order(instant now);
     actions tick_phase(instant now);
     actions ask_replicas(takeover_action::kind what, std::int64_t after_ms,
@@ -337,6 +354,8 @@
     /// The primary answered this attempt and has not stepped down.
     bool primary_answered_ = false;
     std::string target_;
+    /// Why no endpoint could be chosen when the logs were compared last.
+    promotion_obstacle obstacle_ = promotion_obstacle::none;
     std::uint64_t pause_term_ = 0;
     std::uint64_t newest_seen_term_ = 0; ///< the newest term in an answer
     instant accepted_at_ = never;     ///< when the platform accepted the order
--- a/coordination/takeover_members_test.cc
+++ b/coordination/takeover_members_test.cc
@@ -23,8 +23,46 @@
     CPPUNIT_TEST(primary_that_other_hosts_reach_steps_down_first);
     CPPUNIT_TEST(slow_primary_is_not_mistaken_for_one_behind_a_cut);
     CPPUNIT_TEST(primary_that_is_back_steps_down_before_the_order);
+    CPPUNIT_TEST(departed_endpoint_and_primary_are_awaited_and_then_lost);
+    CPPUNIT_TEST(attempt_that_cannot_await_a_log_ends_early);
+    CPPUNIT_TEST(log_of_a_departed_endpoint_is_not_lost_if_the_primary_is_back);
     CPPUNIT_TEST_SUITE_END();
 
+    /// An attempt at `start` that has paused "a" and "b" and asked the primary
+    /// "p" and "g", which departed; neither answers. The host has known no
+    /// primary since 0 ms.
+    static takeover awaiting_a_departed_log(instant start)
+    {
+        takeover attempt(
+            {},
+            {.reason_ = takeover_reason::silent,
+             .primary_id_ = "p",
+             .members_ = {{"p"}, {"a"}, {"b"}, {.id_ = "g", .listed_ = false}},
+             .claimed_at_ = start,
+             .without_primary_since_ = instant{0}});
+        attempt.start(start);
+        for (const char* id : {"p", "g"})
+            attempt.on_status(id, std::nullopt, start);
+        for (const char* id : {"a", "b"})
+            attempt.on_status(id, replica_status(), start);
+        answer_pauses(attempt, start);
+        return attempt;
+    }
+
+    static std::vector<takeover_action> answer_pauses(takeover& attempt,
+                                                      instant now)
+    {
+        auto out = attempt.on_members_listed(now, now);
+        auto add = [&out](const std::vector<takeover_action>& more)
+        {
+            out.insert(out.end(), more.begin(), more.end());
+        };
+        add(attempt.on_status("g", std::nullopt, now));
+        add(attempt.on_status("a", replica_status(2), now));
+        add(attempt.on_status("b", replica_status(2), now));
+        return out;
+    }
+
     /// An attempt that has sent its first status statements, at 0 ms.
     static takeover started(takeover_reason reason,
                             std::vector<takeover_member> members)
@@ -176,6 +214,43 @@
         actions = attempt.on_status("b", replica_status(2), instant{402});
         CPPUNIT_ASSERT(actions.empty());
     }
+
+    // Guards against a service that stays without a primary (RECOVER): the
+    // primary was lost soon after an endpoint had left, so no mark ever bounded
+    // that endpoint's log.
+    void departed_endpoint_and_primary_are_awaited_and_then_lost()
+    {
+        takeover attempt = awaiting_a_departed_log(instant{5000});
+        CPPUNIT_ASSERT(answer_pauses(attempt, instant{7900}).empty());
+        auto out = answer_pauses(attempt, instant{8000});
+        CPPUNIT_ASSERT(contains(out, kind::record_target, "a") ||
+                       contains(out, kind::record_target, "b"));
+    }
+
+    void attempt_that_cannot_await_a_log_ends_early()
+    {
+        takeover attempt = awaiting_a_departed_log(instant{1000});
+        CPPUNIT_ASSERT(!contains(answer_pauses(attempt, instant{2900}),
+                                 kind::record_end, ""));
+        CPPUNIT_ASSERT(contains(answer_pauses(attempt, instant{3000}),
+                                kind::record_end, ""));
+    }
+
+    void log_of_a_departed_endpoint_is_not_lost_if_the_primary_is_back()
+    {
+        takeover attempt = awaiting_a_departed_log(instant{5000});
+        attempt.on_status("p", working_primary, instant{7000});
+        endpoint_status stepped_down = working_primary;
+        stepped_down.primary_ = false;
+        stepped_down.received_.index_ += 1;
+        attempt.on_status("p", stepped_down, instant{7001});
+        attempt.tick(instant{7050});
+        attempt.on_status("p", stepped_down, instant{8400});
+        auto out = answer_pauses(attempt, instant{8400});
+        CPPUNIT_ASSERT(!contains(out, kind::record_target, "a"));
+        CPPUNIT_ASSERT(!contains(out, kind::record_target, "b"));
+        CPPUNIT_ASSERT(contains(out, kind::record_target, "p"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(takeover_members_test);
--- a/coordination/takeover_order.cc
+++ b/coordination/takeover_order.cc
@@ -87,6 +87,7 @@
 promotion_evidence takeover::collect_evidence(instant now) const
 {
     promotion_evidence out{.departed_bound_ = task_.departed_bound_,
+                           .unread_logs_lost_ = unread_logs_lost(now),
                            .floor_ = task_.floor_,
                            .floor_term_ = task_.term_,
                            .ordered_before_ = task_.pending_.ordered_};
@@ -130,6 +131,20 @@
     return out;
 }
 
+bool takeover::unread_logs_lost(instant now) const
+{
+    return !stepped_down_ && !primary_answered_ &&
+           task_.without_primary_since_ != never &&
+           now - task_.without_primary_since_ >= options_.lost_after_ms_;
+}
+
+bool takeover::ends_before_logs_are_lost() const
+{
+    return task_.without_primary_since_ != never &&
+           task_.without_primary_since_ + options_.lost_after_ms_ >=
+               task_.claimed_at_ + options_.lease_ms_;
+}
+
 takeover::actions takeover::check_paused(instant now)
 {
     // The logs can be compared only once all replicas are paused, since they
@@ -158,6 +173,7 @@
     if (awaiting_pause || may_answer)
         return {};
     promotion_choice choice = choose_promotion(collect_evidence(now));
+    obstacle_ = choice.why_not_;
     bool last_resort = choice.id_.empty() || choice.id_ == task_.primary_id_;
     if (choice.needs_members_ && last_resort &&
         (choice.id_.empty() ||
@@ -168,7 +184,9 @@
         bool may_change = awaiting_silent ||
                           choice.why_not_ == promotion_obstacle::log_may_grow ||
                           choice.why_not_ == promotion_obstacle::log_unknown;
-        if (may_change)
+        bool in_vain = ends_before_logs_are_lost() &&
+                       now - phase_since_ >= options_.unread_log_wait_ms_;
+        if (may_change && !in_vain)
             return {};
         return give_up(std::string(name_of(choice.why_not_)), now);
     }
--- a/node/takeover_driver.cc
+++ b/node/takeover_driver.cc
@@ -156,10 +156,23 @@
     if (!health.marks_.empty())
         check_record(state, now);
     state.trigger_.on_health(health, now);
+    update_primary_state(state, now);
     schedule_record_upkeep();
     schedule_tick();
 }
 
+void takeover_driver::update_primary_state(service_state& state, instant now)
+{
+    const primary_health& health = state.health_;
+    bool works = health.listed_ && !health.unreachable_ &&
+                 health.unanswered_since_ == never;
+    if (works)
+        state.without_primary_since_ = never;
+    else if (state.without_primary_since_ == never)
+        state.without_primary_since_ =
+            health.unanswered_since_ == never ? now : health.unanswered_since_;
+}
+
 void takeover_driver::schedule_tick()
 {
     bool needed =
@@ -236,9 +249,14 @@
          {"primary", state.health_.endpoint_id_},
          {"token", row.token_},
          {"ordered_before", row.ordered_},
+         {"resumed_before", row.resumed_},
          {"row_term", row.term_},
          {"floor_term", row.floor_.term_},
          {"floor_index", row.floor_.index_},
+         {"departed", state.departed_.members().size()},
+         {"without_primary_ms", state.without_primary_since_ == never
+                                    ? 0
+                                    : now - state.without_primary_since_},
          {"primary_answered_ms_ago", state.health_.last_answer_ == never
                                          ? -1
                                          : now - state.health_.last_answer_},
@@ -285,7 +303,8 @@
                       .departed_bound_ = state.departed_.bound(),
                       .floor_ = row.floor_,
                       .term_ = row.term_,
-                      .claimed_at_ = state.claimed_at_});
+                      .claimed_at_ = state.claimed_at_,
+                      .without_primary_since_ = state.without_primary_since_});
     perform(state, state.attempt_->start(now));
 }
 
--- a/node/takeover_driver.h
+++ b/node/takeover_driver.h
@@ -126,6 +126,8 @@
         primary_health health_;
         std::vector<endpoint_entry> members_;
         departed_endpoints departed_;
+        /// Since when this host has known no working primary.
+        instant without_primary_since_ = never;
         bool endpoints_known_ = false; ///< `members_` was set
         member_record record_;         ///< as stored, by the last answer
         std::int64_t record_version_ = 0;
@@ -181,6 +183,7 @@
     /// The store has no record, or perhaps another one than the known one.
     void forget_record(service_state& state);
     /// Compares the record with the endpoints and schedules what is due.
+    static void update_primary_state(service_state& state, instant now);
     void check_record(service_state& state, instant now);
     void schedule_record_upkeep();
     void upkeep_records();
