Traffic side: the first health of a primary is always reported

Cause: health is reported on a change only, and the first one was compared with a default-constructed value. A host that starts when no primary is listed has just that value, so the trigger of claims never heard of the service.

Change: change_filter, whose first value always passes. Such a host finds the lost primary in the record of endpoints, as one without an answer: one unknown log is no obstacle if the host does not know the primary, since an acknowledged change is in two logs.

--- a/coordination/group_walk_hosts_test.cc
+++ b/coordination/group_walk_hosts_test.cc
@@ -337,15 +337,16 @@
             takeover_reason::no_primary};
         int presumed_primary =
             primary_ != no_member && chance(85) ? primary_ : last_primary_;
+        std::string presumed_id =
+            chance(10) ? "" : members_[presumed_primary].id_;
         takeover_reason reason = reasons[pick(std::size(reasons))];
         add_trace(host.name_ + " claims, token " + std::to_string(host.token_) +
                   " " + std::string(name_of(reason)) + " primary " +
-                  members_[presumed_primary].id_ + " row " +
-                  encode(host.row_).dump());
+                  presumed_id + " row " + encode(host.row_).dump());
         host.attempt_ = std::make_unique<takeover>(
             takeover::options{},
             takeover_task{.reason_ = reason,
-                          .primary_id_ = members_[presumed_primary].id_,
+                          .primary_id_ = presumed_id,
                           .members_ = std::move(known),
                           .pending_ = pending_commands_of(
                               host.row_, now_ - host.claimed_at_),
--- a/coordination/promotion_choice.cc
+++ b/coordination/promotion_choice.cc
@@ -83,12 +83,15 @@
                       !known.unread_logs_lost_;
     if (!contains_primary && may_exceed)
         return obstacle::log_unknown;
+    bool one_may_be_unknown = known.primary_unknown_ && !stepped_down;
     for (const auto& other : known.logs_)
     {
         if (&other == &candidate || &other == primary)
             continue;
         obstacle found = compare_logs(known, candidate, other, !stepped_down);
         bool unknown = found == obstacle::log_unknown;
+        if (unknown && std::exchange(one_may_be_unknown, false))
+            continue;
         if (found != obstacle::none && !(contains_primary && unknown))
             return found;
     }
--- a/coordination/promotion_choice.h
+++ b/coordination/promotion_choice.h
@@ -14,7 +14,8 @@
 //     of these logs can grow. This needs a complete list of the endpoints: one
 //     that joined a moment ago may have confirmed a change.
 //
-// The second rule needs the log position of every other endpoint. If an
+// The second rule needs the log position of every other endpoint but the
+// primary. If an
 // endpoint does not answer, its log is ignored only when the endpoint has left
 // the group and the candidate's log contains a position that the primary's log
 // had after that: everything that the departed endpoint received is older.
@@ -74,6 +75,10 @@
     /// What endpoints received that are no longer in the group and not among
     /// `logs_` is at or before this position.
     log_position departed_bound_{};
+    /// The host does not know which endpoint is the primary, so the primary's
+    /// log is among `logs_`. One log may then be unknown: an acknowledged change
+    /// is in those of the primary and of a replica.
+    bool primary_unknown_ = false;
     /// Departed endpoints without an answer are lost, with their logs.
     bool unread_logs_lost_ = false;
     log_position floor_{};
--- a/coordination/promotion_choice_test.cc
+++ b/coordination/promotion_choice_test.cc
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(only_target_of_pending_order_is_chosen);
     CPPUNIT_TEST(departed_endpoint_blocks_until_its_log_is_bounded);
     CPPUNIT_TEST(lost_logs_are_no_obstacle);
+    CPPUNIT_TEST(one_log_may_be_the_unknown_primarys);
     CPPUNIT_TEST(row_keeps_pending_commands);
     CPPUNIT_TEST(row_survives_encoding);
     CPPUNIT_TEST(departed_endpoint_is_kept);
@@ -159,6 +160,23 @@
         CPPUNIT_ASSERT(choose_promotion(known).id_.empty());
     }
 
+    // A host that started while no primary was listed knows of the primary only
+    // that it has departed.
+    void one_log_may_be_the_unknown_primarys()
+    {
+        promotion_evidence known{.logs_ = {log_of("a", {1, 9}, true),
+                                           log_of("b", {1, 8}, true),
+                                           {.id_ = "p", .listed_ = false}},
+                                 .primary_unknown_ = true};
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), choose_promotion(known).id_);
+        // One of the two may have confirmed changes.
+        known.logs_.push_back({.id_ = "q", .listed_ = false});
+        CPPUNIT_ASSERT(choose_promotion(known).id_.empty());
+        known.logs_.pop_back();
+        known.primary_unknown_ = false;
+        CPPUNIT_ASSERT(choose_promotion(known).id_.empty());
+    }
+
     // Regressions: a second claim dropped the pending order of the first one,
     // and the age of an order counted from its first sending.
     void row_keeps_pending_commands()
--- a/coordination/takeover_order.cc
+++ b/coordination/takeover_order.cc
@@ -87,6 +87,7 @@
 promotion_evidence takeover::collect_evidence(instant now) const
 {
     promotion_evidence out{.departed_bound_ = task_.departed_bound_,
+                           .primary_unknown_ = task_.primary_id_.empty(),
                            .unread_logs_lost_ = unread_logs_lost(now),
                            .floor_ = task_.floor_,
                            .floor_term_ = task_.term_,
--- a/node/traffic_server.cc
+++ b/node/traffic_server.cc
@@ -410,11 +410,8 @@
             health.last_answer_ = never;
             health.marks_.clear();
         }
-        auto& reported = reported_[name];
-        if (reported == health)
-            continue;
-        reported = health;
-        on_health_(name, health);
+        if (reported_health_[name].passes(health))
+            on_health_(name, health);
     }
 }
 
--- a/node/traffic_server.h
+++ b/node/traffic_server.h
@@ -25,6 +25,7 @@
 #include "node/allowance_client.h"
 #include "node/caller_session.h"
 #include "node/peer_server.h"
+#include "state/change_filter.h"
 #include "node/service_gateway.h"
 
 namespace tanagerspan
@@ -161,7 +162,7 @@
     bool serves_peers_ = false;
     std::map<std::string, promotion_record> promotions_;
     std::map<std::string, pending_promotion> pending_promotions_;
-    std::map<std::string, primary_health> reported_;
+    std::map<std::string, change_filter<primary_health>> reported_health_;
     /// Since when a report of a mark is requested, by service.
     std::map<std::string, instant> marks_wanted_;
     route_table_ptr routes_;
