Takeovers: a primary that nobody can replace keeps its role

Cause: a primary that acknowledged nothing was told to step down before it was known that another endpoint could take over. The former primary was not ordered again as long as a silent replica was listed, and the next attempt no longer knew that its log was complete.

Change: the logs are compared before the step down.

--- a/coordination/takeover.cc
+++ b/coordination/takeover.cc
@@ -241,9 +241,24 @@
         return finish(task_.primary_id_,
                       "the primary's replicas were still paused", now);
     // No replica confirms what the primary writes.
+    if (!may_replace_primary(now))
+        return give_up("no other endpoint is known to have all changes", now);
     return replace_primary(now);
 }
 
+bool takeover::may_replace_primary(instant now)
+{
+    const member_state& primary = *find(task_.primary_id_);
+    promotion_evidence known = collect_evidence(now);
+    known.stepped_down_ = primary.info_.id_;
+    known.members_complete_ = true;
+    known.logs_.push_back({.id_ = primary.info_.id_,
+                           .received_ = primary.status_.received_,
+                           .term_ = primary.status_.term_});
+    promotion_choice choice = choose_promotion(known);
+    return !choice.id_.empty() && choice.id_ != primary.info_.id_;
+}
+
 takeover::actions takeover::replace_primary(instant now)
 {
     primary_answered_ = true;
--- a/coordination/takeover.h
+++ b/coordination/takeover.h
@@ -31,6 +31,9 @@
 //     attempt may have promoted an endpoint to a term that no answer shows, the
 //     pauses name the term after that one; once the new primary is seen, the
 //     replicas are resumed if its term is an earlier one.
+//   - A primary that answers, but acknowledges nothing, keeps its role unless
+//     another endpoint is known to have all changes: it still serves reads, and
+//     its replicas may receive again.
 //   - A primary that answers while an earlier attempt still keeps its replicas
 //     paused is kept, and the replicas are resumed: none of them could confirm
 //     a change.
@@ -289,6 +292,9 @@
     actions evaluate_primary(member_state& primary, instant now);
     actions start_comparison(instant now);
     actions evaluate_comparison(instant now);
+    /// Whether another endpoint could be promoted if the primary stepped down
+    /// with its present log.
+    bool may_replace_primary(instant now);
     actions replace_primary(instant now);
     actions demote(instant now);
     actions pause_replicas(instant now);
--- a/coordination/takeover_order.cc
+++ b/coordination/takeover_order.cc
@@ -193,7 +193,9 @@
     }
     // The silent replica may have the log of the primary, which should not be
     // its own successor then.
-    if (awaiting_silent && choice.id_ == task_.primary_id_)
+    bool may_wait = find(choice.id_)->info_.leaving_ ||
+                    now - phase_since_ < options_.inspect_timeout_ms_;
+    if (awaiting_silent && choice.id_ == task_.primary_id_ && may_wait)
         return {};
     target_ = choice.id_;
     phase_ = phase::recording_target;
--- a/coordination/takeover_test.cc
+++ b/coordination/takeover_test.cc
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(replica_behind_a_leaving_primary_is_not_promoted);
     CPPUNIT_TEST(answering_primary_is_kept);
     CPPUNIT_TEST(primary_without_receiving_replicas_is_replaced);
+    CPPUNIT_TEST(primary_that_nobody_can_replace_is_kept);
+    CPPUNIT_TEST(primary_leads_again_if_a_replica_stays_silent);
     CPPUNIT_TEST(joining_endpoint_confirms_no_lost_change);
     CPPUNIT_TEST(primary_is_found_despite_pause_of_higher_term);
     CPPUNIT_TEST(new_primary_ends_attempt);
@@ -171,6 +173,37 @@
         }
     }
 
+    // Guards against a service that stays without a primary (RECOVER): a
+    // working primary stepped down, although nobody could be promoted.
+    void primary_that_nobody_can_replace_is_kept()
+    {
+        group_model group;
+        group.commit("b");
+        group.find("a").receives_ = false;
+        group.find("b").running_ = false;
+        group.commit("a");
+        auto run = run_attempt(group, takeover_reason::stuck, no_events);
+        CPPUNIT_ASSERT(!run.ordered_);
+        CPPUNIT_ASSERT_EQUAL(std::string("p"), group.primary_);
+        CPPUNIT_ASSERT(!group.find("a").paused_);
+    }
+
+    // The replica stopped between the decision and the step down.
+    void primary_leads_again_if_a_replica_stays_silent()
+    {
+        group_model group;
+        group.find("a").receives_ = group.find("b").receives_ = false;
+        group.commit("a");
+        auto run = run_attempt(group, takeover_reason::stuck,
+                               [](group_model& model)
+                               {
+                                   if (model.primary_.empty())
+                                       model.find("b").running_ = false;
+                               });
+        CPPUNIT_ASSERT(run.ordered_ == "p");
+        CPPUNIT_ASSERT_EQUAL(std::string("p"), group.primary_);
+    }
+
     // Regression: all known replicas of a primary were paused, but a replica
     // that had just joined confirmed a change. One of the paused replicas,
     // which lacked that change, was then promoted.
