Drain: open transactions have half of the grace period

Cause: transactions had half of the time that sessions have, and sessions have nine tenths of the grace period.

Change: drain takes both limits, and drain_limits_within derives them from the grace period: 5.4 s and 3 s of 6 s.

--- a/daemons/tanager_edge_main.cc
+++ b/daemons/tanager_edge_main.cc
@@ -38,10 +38,6 @@
 constexpr int exit_failed = 1;
 constexpr int exit_usage = 2;
 
-// The share of the grace period (SIGTERM to SIGKILL) in which open sessions
-// may finish. The rest is left for the shutdown of the process.
-constexpr double drain_share_of_grace = 0.9;
-
 // Concurrency hint of an io_context: each event loop is run by one thread.
 constexpr int single_thread_hint = 1;
 
@@ -324,9 +320,7 @@
                           {
                               fleet_control_.leave([] {});
                           });
-        auto drain_ms = static_cast<std::int64_t>(
-            static_cast<double>(settings_.grace_ms_) * drain_share_of_grace);
-        traffic_server_.drain(drain_ms,
+        traffic_server_.drain(drain_limits_within(settings_.grace_ms_),
                               []
                               {
                                   // No state needs to be flushed, so the
--- a/node/home_flow_test.cc
+++ b/node/home_flow_test.cc
@@ -149,7 +149,7 @@
         f.execute(*user, "BEGIN");
         CPPUNIT_ASSERT(!f.execute(*user, "WRITE a 1").error_);
         bool drained = false;
-        f.server_->drain(5000,
+        f.server_->drain({.sessions_ms_ = 5000, .transactions_ms_ = 2500},
                          [&drained]
                          {
                              drained = true;
@@ -312,7 +312,7 @@
         // before its limit.
         other.reset();
         bool drained = false;
-        f.server_->drain(20'000,
+        f.server_->drain({.sessions_ms_ = 20'000, .transactions_ms_ = 10'000},
                          [&drained]
                          {
                              drained = true;
--- a/node/relay_link_test.cc
+++ b/node/relay_link_test.cc
@@ -122,7 +122,8 @@
         relay_link_fixture f;
         f.watch();
         CPPUNIT_ASSERT(f.arrives());
-        f.relay_server_->drain(5000, [] {});
+        f.relay_server_->drain({.sessions_ms_ = 5000, .transactions_ms_ = 2500},
+                               [] {});
         f.run_for(100);
         f.watch();
         CPPUNIT_ASSERT(f.got_.has_value());
--- a/node/session_flow_test.cc
+++ b/node/session_flow_test.cc
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(invalid_statements_do_not_end_the_session);
     CPPUNIT_TEST(a_silent_primary_is_reported);
     CPPUNIT_TEST(a_drain_interrupts_no_transaction);
+    CPPUNIT_TEST(open_transactions_have_half_of_the_grace_period);
     CPPUNIT_TEST_SUITE_END();
 
 protected:
@@ -385,6 +386,15 @@
         CPPUNIT_ASSERT_EQUAL(std::string("m1"), seen->endpoint_id_);
     }
 
+    // Guards against a transaction that is rolled back too early at a planned
+    // stop (DRAIN): its time was half of what sessions have, which is less than
+    // the grace period.
+    void open_transactions_have_half_of_the_grace_period()
+    {
+        drain_limits expected{.sessions_ms_ = 5400, .transactions_ms_ = 3000};
+        CPPUNIT_ASSERT(drain_limits_within(6000) == expected);
+    }
+
     void a_drain_interrupts_no_transaction()
     {
         session_fixture f(through_home());
@@ -393,11 +403,12 @@
         f.execute(*busy, "BEGIN");
         f.execute(*busy, "WRITE a 1");
         bool drained = false;
-        f.callers_server().drain(6000,
-                                 [&drained]
-                                 {
-                                     drained = true;
-                                 });
+        f.callers_server().drain(
+            {.sessions_ms_ = 6000, .transactions_ms_ = 3000},
+            [&drained]
+            {
+                drained = true;
+            });
         f.run_for(100);
         CPPUNIT_ASSERT(!f.execute(*busy, "COMMIT").error_);
         // The load balancer sends callers until it detects the drain.
--- a/node/session_input_test.cc
+++ b/node/session_input_test.cc
@@ -124,7 +124,7 @@
             delay_reads(f, delay_ms);
             auto user = f.open("own");
             bool drained = false;
-            f.server_->drain(6000,
+            f.server_->drain({.sessions_ms_ = 6000, .transactions_ms_ = 3000},
                              [&drained]
                              {
                                  drained = true;
--- a/node/traffic_server.cc
+++ b/node/traffic_server.cc
@@ -169,18 +169,19 @@
 
 void traffic_server::tick_drain(instant now)
 {
-    bool past_half = now - drain_since_ > (drain_until_ - drain_since_) / 2;
+    bool ends_transactions =
+        now - drain_since_ > drain_limits_.transactions_ms_;
     if (now - drain_since_ > options_.accept_after_drain_ms_)
     {
         io_error ignored;
         acceptor_.close(ignored);
         for (auto& session : sessions_)
         {
-            if (past_half)
+            if (ends_transactions)
                 session->roll_back_idle_transaction();
             session->drain();
         }
-        if (past_half)
+        if (ends_transactions)
             peers_.roll_back_transactions();
     }
     std::erase_if(sessions_,
@@ -189,7 +190,8 @@
                       return session->is_closed();
                   });
     bool notice_passed = now - drain_since_ > peer_notice_ms;
-    if (!(notice_passed && is_idle()) && now < drain_until_)
+    bool in_time = now - drain_since_ < drain_limits_.sessions_ms_;
+    if (!(notice_passed && is_idle()) && in_time)
         return;
     log_line(
         log_level::info, "drained",
@@ -197,10 +199,19 @@
     std::exchange(on_drained_, nullptr)();
 }
 
-void traffic_server::drain(std::int64_t limit_ms, std::function<void()> done)
+drain_limits drain_limits_within(std::int64_t grace_ms)
+{
+    // The rest is left for the shutdown of the process.
+    constexpr double sessions_share = 0.9;
+    return {.sessions_ms_ = static_cast<std::int64_t>(
+                static_cast<double>(grace_ms) * sessions_share),
+            .transactions_ms_ = grace_ms / 2};
+}
+
+void traffic_server::drain(drain_limits limits, std::function<void()> done)
 {
     drain_since_ = monotonic_now();
-    drain_until_ = drain_since_ + limit_ms;
+    drain_limits_ = limits;
     on_drained_ = std::move(done);
     peers_.announce_leaving();
 }
--- a/node/traffic_server.h
+++ b/node/traffic_server.h
@@ -25,12 +25,24 @@
 #include "node/allowance_client.h"
 #include "node/caller_session.h"
 #include "node/peer_server.h"
-#include "state/change_filter.h"
 #include "node/service_gateway.h"
+#include "state/change_filter.h"
 
 namespace tanagerspan
 {
 
+/// How long a drain waits for callers, from its start.
+struct drain_limits
+{
+    std::int64_t sessions_ms_ = 0;     ///< until all sessions are closed
+    std::int64_t transactions_ms_ = 0; ///< until idle ones are rolled back
+
+    bool operator==(const drain_limits&) const = default;
+};
+
+/// The limits of a process that is killed after `grace_ms`.
+drain_limits drain_limits_within(std::int64_t grace_ms);
+
 class traffic_server
 {
 public:
@@ -76,10 +88,10 @@
                                pending_promotion order);
 
     /// Closes each session once it is in no transaction, beginning after
-    /// `accept_after_drain_ms_`. After half of `limit_ms`, idle transactions
-    /// are rolled back. `done` is called when no session and no peer's work is
-    /// left, or after `limit_ms`.
-    void drain(std::int64_t limit_ms, std::function<void()> done);
+    /// `accept_after_drain_ms_`. After `limits.transactions_ms_`, idle
+    /// transactions are rolled back. `done` is called when no session and no
+    /// peer's work is left, or after `limits.sessions_ms_`.
+    void drain(drain_limits limits, std::function<void()> done);
 
     /// Whether routes, endpoints and homes are known.
     bool is_ready() const
@@ -172,7 +184,7 @@
     instant rows_requested_at_ = never; ///< never: no request is pending
     instant load_reported_at_ = never;
     instant drain_since_ = never;
-    instant drain_until_ = never;
+    drain_limits drain_limits_{};
     std::function<void()> on_drained_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
