Takeovers: the former start of an endpoint has departed with its log

Cause: takeovers knew endpoints by id alone. The answer of the new start, with nothing in its log, counted as the log that had confirmed the changes.

Change: an endpoint is identified by its id and its start. The former start is a departed endpoint that cannot be asked, in memory, in the record and in an attempt under way. A new endpoint at the address of another id is its successor as before.

--- a/coordination/departed_endpoints.cc
+++ b/coordination/departed_endpoints.cc
@@ -1,6 +1,7 @@
 #include "coordination/departed_endpoints.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace tanagerspan
 {
@@ -10,11 +11,36 @@
     return std::any_of(listed_.begin(), listed_.end(),
                        [&previous](const endpoint_entry& member)
                        {
-                           return member.id_ == previous.id_ ||
-                                  member.address_ == previous.address_;
+                           bool same_id = member.id_ == previous.id_;
+                           return same_id
+                                      ? member.started_ms_ ==
+                                            previous.started_ms_
+                                      : member.address_ == previous.address_;
                        });
 }
 
+bool departed_endpoints::has_restarted(const endpoint_entry& previous) const
+{
+    auto is_later = [&previous](const endpoint_entry& other)
+    {
+        return other.id_ == previous.id_ &&
+               other.started_ms_ > previous.started_ms_;
+    };
+    return std::any_of(listed_.begin(), listed_.end(), is_later) ||
+           std::any_of(departed_.begin(), departed_.end(),
+                       [&is_later](const departed& other)
+                       {
+                           return is_later(other.entry_);
+                       });
+}
+
+std::string departed_endpoints::attempt_id(const endpoint_entry& previous) const
+{
+    if (!has_restarted(previous))
+        return previous.id_;
+    return previous.id_ + "@" + std::to_string(previous.started_ms_);
+}
+
 void departed_endpoints::limit_entries()
 {
     while (departed_.size() > options_.max_entries_)
@@ -48,7 +74,14 @@
                              .service_ = options_.service_,
                              .address_ = member.address_,
                              .started_ms_ = member.started_ms_};
-        if (!is_listed(entry) && find(entry.id_) == nullptr)
+        bool is_known = std::any_of(departed_.begin(), departed_.end(),
+                                    [&member](const departed& other)
+                                    {
+                                        return other.entry_.id_ == member.id_ &&
+                                               other.entry_.started_ms_ ==
+                                                   member.started_ms_;
+                                    });
+        if (!is_listed(entry) && !is_known)
             departed_.push_back({.entry_ = entry, .departed_at_ = now});
     }
     limit_entries();
@@ -91,7 +124,8 @@
     std::sort(out.endpoints_.begin(), out.endpoints_.end(),
               [](const recorded_endpoint& left, const recorded_endpoint& right)
               {
-                  return left.id_ < right.id_;
+                  return std::tie(left.id_, left.started_ms_) <
+                         std::tie(right.id_, right.started_ms_);
               });
     return out;
 }
@@ -118,7 +152,7 @@
 {
     std::vector<takeover_member> out;
     for (const auto& member : departed_)
-        out.push_back({.id_ = member.entry_.id_,
+        out.push_back({.id_ = attempt_id(member.entry_),
                        .leaving_ = true,
                        .listed_ = false,
                        .received_bound_ = member.received_bound_});
@@ -129,7 +163,7 @@
 {
     for (const auto& member : departed_)
     {
-        if (member.entry_.id_ == id)
+        if (member.entry_.id_ == id && !has_restarted(member.entry_))
             return &member.entry_;
     }
     return nullptr;
--- a/coordination/departed_endpoints.h
+++ b/coordination/departed_endpoints.h
@@ -16,7 +16,8 @@
 //   for (const auto& member : departed.members()) ...
 //
 // A new endpoint at the address of a departed one is its successor and has its
-// log, so the departed one is dropped.
+// log, so the departed one is dropped. An endpoint that starts again under its
+// id has nothing of before: its former start has departed, with its log.
 //
 // A host that starts later has not seen the endpoints that departed before, so
 // the store keeps a record of all endpoints whose logs are not bounded
@@ -29,6 +30,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "coordination/freshness_marks.h"
@@ -57,7 +59,7 @@
         std::size_t max_entries_ = 16;
     };
 
-    explicit departed_endpoints(options opts) : options_(opts)
+    explicit departed_endpoints(options opts) : options_(std::move(opts))
     {
     }
 
@@ -82,7 +84,8 @@
     /// When `needs_mark` becomes true; `never` if all logs are bounded.
     instant next_mark_at() const;
 
-    /// The departed endpoints as members of an attempt.
+    /// The departed endpoints as members of an attempt. A former start of an
+    /// endpoint has an id of its own, for which `find` knows no entry.
     std::vector<takeover_member> members() const;
 
     /// Bounds what endpoints received that are in no record any more.
@@ -103,6 +106,9 @@
     };
 
     bool is_listed(const endpoint_entry& previous) const;
+    /// Whether the endpoint has started again under its id.
+    bool has_restarted(const endpoint_entry& previous) const;
+    std::string attempt_id(const endpoint_entry& previous) const;
     void limit_entries();
 
     options options_;
--- a/coordination/promotion_choice_test.cc
+++ b/coordination/promotion_choice_test.cc
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(row_survives_encoding);
     CPPUNIT_TEST(departed_endpoint_is_kept);
     CPPUNIT_TEST(recorded_endpoint_that_is_not_listed_has_departed);
+    CPPUNIT_TEST(endpoint_that_starts_again_has_lost_its_log);
     CPPUNIT_TEST(record_keeps_the_bound_of_a_departed_endpoint);
     CPPUNIT_TEST(bound_of_departed_endpoints_holds_for_every_candidate);
     CPPUNIT_TEST_SUITE_END();
@@ -284,6 +285,37 @@
         CPPUNIT_ASSERT(after_a_transfer.members().empty());
     }
 
+    // Guards against the loss of an acknowledged change (LOST): a replica that
+    // started again under its id with nothing counted as its former log.
+    void endpoint_that_starts_again_has_lost_its_log()
+    {
+        std::vector<endpoint_entry> listed{
+            {.id_ = "a", .address_ = "x:1", .started_ms_ = 1}};
+        instant now{1000};
+        departed_endpoints departed({});
+        departed.update(listed, now);
+        listed[0].started_ms_ = 2;
+        departed.update(listed, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, departed.members().size());
+        CPPUNIT_ASSERT_EQUAL(std::string("a@1"), departed.members()[0].id_);
+        CPPUNIT_ASSERT(departed.find("a@1") == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                             departed.record().endpoints_.size());
+        departed_endpoints later({});
+        later.update(listed, now);
+        later.merge(departed.record(), now);
+        later.merge(departed.record(), now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, later.members().size());
+        // The second start departs, too. Only that one can be asked.
+        departed.update({}, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, departed.members().size());
+        CPPUNIT_ASSERT(departed.find("a") != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, departed.find("a")->started_ms_);
+        departed.bound_logs(
+            std::vector<freshness_mark>{{now + 10'001, {1, 6}}});
+        CPPUNIT_ASSERT(departed.record().endpoints_.empty());
+    }
+
     // A host that starts after the record was cleared gets the bound only.
     void record_keeps_the_bound_of_a_departed_endpoint()
     {
--- a/coordination/takeover.cc
+++ b/coordination/takeover.cc
@@ -381,6 +381,12 @@
     }
 }
 
+void takeover::on_restarted(const takeover_member& former)
+{
+    if (find(former.id_) == nullptr)
+        members_.push_back({.info_ = former, .failed_ = true});
+}
+
 takeover::actions takeover::add_member(const std::string& id, kind command,
                                        instant now)
 {
--- a/coordination/takeover.h
+++ b/coordination/takeover.h
@@ -219,6 +219,9 @@
     /// An endpoint joined the group. It may receive changes that no other
     /// endpoint has.
     std::vector<takeover_action> on_joined(const std::string& id, instant now);
+    /// An endpoint started again, so that its former log is gone. `former` is
+    /// that log's member; it has an id of its own.
+    void on_restarted(const takeover_member& former);
     /// The outcome of `record_target`. `recorded` is false also if the outcome
     /// is unknown.
     std::vector<takeover_action> on_target_recorded(bool recorded, instant now);
--- a/coordination/takeover_members_test.cc
+++ b/coordination/takeover_members_test.cc
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(primary_that_other_hosts_reach_steps_down_first);
     CPPUNIT_TEST(slow_primary_is_not_mistaken_for_one_behind_a_cut);
     CPPUNIT_TEST(primary_that_is_back_steps_down_before_the_order);
+    CPPUNIT_TEST(log_of_a_former_start_is_awaited);
     CPPUNIT_TEST(departed_endpoint_and_primary_are_awaited_and_then_lost);
     CPPUNIT_TEST(attempt_that_cannot_await_a_log_ends_early);
     CPPUNIT_TEST(log_of_a_departed_endpoint_is_not_lost_if_the_primary_is_back);
@@ -215,6 +216,31 @@
         CPPUNIT_ASSERT(actions.empty());
     }
 
+    // Guards against the loss of an acknowledged change (LOST): a replica that
+    // started again under its id answered with an empty log, and the attempt
+    // took it for the log that had confirmed changes.
+    void log_of_a_former_start_is_awaited()
+    {
+        takeover attempt =
+            started(takeover_reason::silent, {{"p"}, {"a"}, {"b"}});
+        attempt.on_status("p", std::nullopt, instant{1});
+        for (const char* id : {"a", "b"})
+            attempt.on_status(id, replica_status(), instant{1});
+        attempt.on_restarted({.id_ = "b@1", .listed_ = false});
+        auto out = answer_pauses(attempt, instant{2});
+        CPPUNIT_ASSERT(!contains(out, kind::record_target, "a"));
+        CPPUNIT_ASSERT(!contains(out, kind::record_target, "b"));
+        // The primary comes back with its log and steps down.
+        attempt.on_status("p", working_primary, instant{500});
+        endpoint_status stepped_down = working_primary;
+        stepped_down.primary_ = false;
+        attempt.on_status("p", stepped_down, instant{501});
+        attempt.tick(instant{550});
+        out = answer_pauses(attempt, instant{551});
+        CPPUNIT_ASSERT(contains(out, kind::record_target, "a") ||
+                       contains(out, kind::record_target, "b"));
+    }
+
     // Guards against a service that stays without a primary (RECOVER): the
     // primary was lost soon after an endpoint had left, so no mark ever bounded
     // that endpoint's log.
--- a/node/takeover_driver.cc
+++ b/node/takeover_driver.cc
@@ -79,6 +79,7 @@
     for (auto& [name, state] : services_)
     {
         state.departed_.update(state.members_, now);
+        add_former_starts(state);
         if (!std::exchange(state.endpoints_known_, true))
             state.departed_.merge(state.record_, now);
         check_record(state, now);
@@ -92,6 +93,17 @@
     }
 }
 
+void takeover_driver::add_former_starts(service_state& state)
+{
+    if (!state.attempt_)
+        return;
+    for (const auto& member : state.departed_.members())
+    {
+        if (state.departed_.find(member.id_) == nullptr)
+            state.attempt_->on_restarted(member);
+    }
+}
+
 void takeover_driver::set_claim_order(home_plan_ptr plan,
                                       const std::vector<fleet_host>& hosts)
 {
--- a/node/takeover_driver.h
+++ b/node/takeover_driver.h
@@ -191,6 +191,8 @@
     instant next_record_upkeep(const service_state& state) const;
     void perform(service_state& state,
                  const std::vector<takeover_action>& actions);
+    /// Tells the attempt of endpoints that started again.
+    static void add_former_starts(service_state& state);
     std::vector<takeover_member> members_of(const service_state& state) const;
     using recorded_handler =
         std::vector<takeover_action> (takeover::*)(bool recorded, instant now);
