--- a/coordination/promotion_choice.h
+++ b/coordination/promotion_choice.h
@@ -76,8 +76,8 @@
     /// `logs_` is at or before this position.
     log_position departed_bound_{};
     /// The host does not know which endpoint is the primary, so the primary's
-    /// log is among `logs_`. One log may then be unknown: an acknowledged change
-    /// is in those of the primary and of a replica.
+    /// log is among `logs_`. One log may then be unknown: an acknowledged
+    /// change is in those of the primary and of a replica.
     bool primary_unknown_ = false;
     /// Departed endpoints without an answer are lost, with their logs.
     bool unread_logs_lost_ = false;
